--- /dev/null
+++ b/valverouter/__init__.py
@@ -0,0 +1,1 @@
+"""Edge controller that sets dialogs up at shared signalling servers."""
--- /dev/null
+++ b/valverouter/control.py
@@ -0,0 +1,349 @@
+"""All decisions of one edge proxy: which server, when again, when no more, when to decline.
+
+valverouter.driver calls it: `dialog` gives each dialog's course, a generator that yields wishes and is
+resumed with results; `server_list`, `report` and `learn` bring news. The types of both directions are in
+valverouter/interface.py. `now` is the caller's clock, set before each call. Why each rule is here, and
+where it departs from its source, is in docs/design.md.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Sequence
+from enum import Enum, auto
+
+from valverouter.interface import (
+    Abort,
+    Course,
+    Decline,
+    Deployment,
+    Dialog,
+    Leg,
+    LegResult,
+    ListScope,
+    Outcome,
+    Pause,
+    Report,
+    ServerEntry,
+    Subscribe,
+    TrafficType,
+)
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+
+# The retry budget, in thousandths of a token so that tenths add up exactly.
+TOKEN = 1_000
+FULL_COUNT = 10 * TOKEN
+STAND_ADDS = TOKEN // 10
+
+# The wait before retry n, and the legs of a dialog.
+RETRY_BASE = 200 * MS
+RETRY_CAP = 2 * SECOND
+LEGS = 3
+
+# Own set-up delays: the weight of a new one, and how long news of a wait takes to fade to nothing.
+NEW_DELAY_WEIGHT = 0.4
+NEWS_FADES = 2 * SECOND
+
+# A server that last failed is left alone for so long, doubling with each failure in a row.
+SHUN_BASE = 500 * MS
+SHUN_CAP = 4 * SECOND
+
+# What a server's wait may be, in shares of the setup objective, for a dialog to be sent there.
+LEAST_WAIT_SHARE = 0.25
+WAIT_SHARE_SPAN = 0.2
+IMPORTANT_WAIT_SHARE = 0.6
+
+# How long a number whose lines were all busy is taken to stay so.
+BUSY_NUMBER = 2 * SECOND
+
+# The share of own warm traffic that a cold server gets of what its assumed capacity would allow.
+COLD_MARGIN = 0.8
+RATE_SPAN = 10 * SECOND
+COLD_TRICKLE = 2 * SECOND
+
+COME_BACK = 1 * SECOND
+
+
+class Verdict(Enum):
+    """What follows a failed leg (the paper's Decision, for a Retry)."""
+
+    AGAIN = auto()
+    EXHAUSTED = auto()
+    THROTTLED = auto()
+    EXPIRED = auto()
+
+
+class RetryBudget:
+    """The paper's Budget for one far server: starts full, first legs are never limited by it."""
+
+    def __init__(self) -> None:
+        self.tokens = FULL_COUNT
+
+    def failed(self) -> None:
+        self.tokens = max(0, self.tokens - TOKEN)
+
+    def stood(self) -> None:
+        self.tokens = min(FULL_COUNT, self.tokens + STAND_ADDS)
+
+    @property
+    def allows_retry(self) -> bool:
+        return self.tokens * 2 > FULL_COUNT
+
+
+def decide(budget: RetryBudget, legs: int, legs_allowed: int, again_at: int, no_answer_at: int) -> Verdict:
+    """The paper's Done for a retryable result: first the token, then its order of reasons."""
+    budget.failed()
+    if legs >= legs_allowed:
+        return Verdict.EXHAUSTED
+    if not budget.allows_retry:
+        return Verdict.THROTTLED
+    if again_at >= no_answer_at:
+        return Verdict.EXPIRED
+    return Verdict.AGAIN
+
+
+def retry_wait(retry: int, draw: float, least: int) -> int:
+    """The paper's Exponential, full jitter; a wait that the server asked for is its least."""
+    return max(least, int(draw * min(RETRY_CAP, RETRY_BASE << min(retry - 1, 16))))
+
+
+class Far:
+    """What this edge proxy knows of one far server since that server's latest start."""
+
+    def __init__(self, entry: ServerEntry, now: int) -> None:
+        self.entry = entry
+        self.budget = RetryBudget()
+        self.free = True
+        self.told_wait: int | None = None
+        self.delay = 0
+        self.heard_at = now
+        # Unanswered legs by (dialog, leg) with their time of sending; emptied by their results.
+        self.out: dict[tuple[str, int], int] = {}
+        self.failures = 0
+        self.shunned_until = 0
+        self.cold_credit = 0.0
+        self.cold_filled_at = now
+
+    def oldest_out(self, now: int) -> int:
+        return now - next(iter(self.out.values())) if self.out else 0
+
+    def wait(self, now: int) -> int:
+        # An unanswered leg's age is a lower bound of the wait: it shows a silent, hung or cut-off
+        # server, or a queue that grows, before any answer or time-out can.
+        fading = max(0.0, 1 - (now - self.heard_at) / NEWS_FADES)
+        known = self.told_wait if self.told_wait is not None else self.delay
+        return max(int(known * fading), self.oldest_out(now))
+
+    def heard(self, delay: int, now: int) -> None:
+        self.delay = int(self.delay + NEW_DELAY_WEIGHT * (delay - self.delay)) if self.delay else delay
+        self.heard_at = now
+
+    def sound(self, now: int) -> bool:
+        # A server whose last news was a failure gets one leg at a time, after a growing pause: it is
+        # neither shut out for good nor flooded when it returns.
+        return not self.failures or (now >= self.shunned_until and not self.out)
+
+
+class Control:
+    """The decisions of one edge proxy. Tables hold what is out, listed or recent, never dialogs past."""
+
+    def __init__(self, deployment: Deployment, seed: int, now: int) -> None:
+        self.terms = deployment
+        self.now = now
+        self._seed = seed
+        self._draws = 0
+        # Emptied by the server list: an entry goes when the list drops it.
+        self._fars: dict[str, Far] = {}
+        # Called numbers whose lines were all busy, until when; emptied as they pass.
+        self._busy_numbers: dict[int, int] = {}
+        # Dialogs stood at warm servers, in this span of time and the one before.
+        self._span_started = now
+        self._stood_now = 0
+        self._stood_before = 0
+        least = min(t.importance for t in deployment.traffic_types.values())
+        self._important = {n for n, t in deployment.traffic_types.items() if t.importance > least}
+
+    # News
+
+    def server_list(self, scope: ListScope, entries: Sequence[ServerEntry]) -> None:
+        if scope is ListScope.FAILED:
+            return
+        if scope is not ListScope.CHANGES:
+            listed = {entry.id for entry in entries}
+            self._fars = {id_: far for id_, far in self._fars.items() if id_ in listed}
+        for entry in entries:
+            known = self._fars.get(entry.id)
+            if known is None or (entry.in_service and entry.started_at != known.entry.started_at):
+                # A fresh start owes nothing to the process before it, its legs included.
+                self._fars[entry.id] = Far(entry, self.now)
+            else:
+                known.entry = entry
+        for id_ in [id_ for id_, far in self._fars.items() if not far.entry.in_service and not far.out]:
+            del self._fars[id_]
+
+    def report(self, server: str, report: Report) -> None:
+        far = self._fars.get(server)
+        if far is None:
+            return
+        if report.free_lines is not None:
+            far.free = report.free_lines >= 1
+        if report.wait is not None:
+            far.told_wait = report.wait
+
+    def learn(self, result: LegResult) -> None:
+        """Every result teaches about its server, also when the dialog has long ended."""
+        far = self._fars.get(result.server)
+        if far is None:
+            return
+        if result.report is not None:
+            self.report(result.server, result.report)
+        sent_at = far.out.pop((result.dialog_id, result.leg), None)
+        if sent_at is None or result.outcome in (Outcome.NOT_SENT, Outcome.CANCELLED):
+            return
+        answered = (Outcome.STANDS, Outcome.ENDED, Outcome.LINE_BUSY, Outcome.FAULT)
+        if result.outcome in answered:
+            far.failures = 0
+            far.heard(self.now - sent_at, self.now)
+            if result.outcome is Outcome.STANDS and self._cold_share(far) >= 1:
+                self._stood_now += 1
+            return
+        far.failures += 1
+        far.heard(max(self.now - sent_at, result.asked_wait, far.delay), self.now)
+        far.shunned_until = self.now + max(
+            result.asked_wait, min(SHUN_CAP, SHUN_BASE << min(far.failures - 1, 16))
+        )
+
+    # A dialog
+
+    def dialog(self, dialog: Dialog) -> Course:
+        """One dialog from its arrival to its answer."""
+        kind = self.terms.traffic_types.get(dialog.traffic_type)
+        if kind is None or self._lines_busy(dialog.called_number):
+            yield Decline(self._come_back())
+            return
+        legs = 0
+        tried: set[str] = set()
+        while True:
+            far = self._choose(dialog, kind, tried)
+            if far is None:
+                yield Decline(self._come_back())
+                return
+            server = far.entry.id
+            tried.add(server)
+            far.out[dialog.id, legs] = self.now
+            legs += 1
+            result = yield Leg(server, dialog.no_answer_at)
+            assert isinstance(result, LegResult)
+            outcome = result.outcome
+            if outcome is Outcome.STANDS:
+                far.budget.stood()
+                return
+            if outcome is Outcome.LINE_BUSY:
+                self._busy_numbers[dialog.called_number] = self.now + BUSY_NUMBER
+                yield Abort()
+                return
+            proven_unrun = outcome in (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
+            if outcome is Outcome.NOT_SENT or self.now >= dialog.no_answer_at:
+                # The caller's time is over, or nothing was sent: neither says anything of the server.
+                yield Abort()
+                return
+            least = result.asked_wait if proven_unrun else self.terms.release_wait
+            wait = retry_wait(legs, self._draw(), least)
+            legs_allowed = min(LEGS, self.terms.legs_allowed)
+            verdict = decide(far.budget, legs, legs_allowed, self.now + wait, dialog.no_answer_at)
+            if not kind.repeatable and not proven_unrun:
+                yield Abort()
+                return
+            if verdict is not Verdict.AGAIN:
+                yield Decline(self._come_back())
+                return
+            yield Pause(wait)
+
+    def _choose(self, dialog: Dialog, kind: TrafficType, tried: set[str]) -> Far | None:
+        allowed = [
+            far
+            for far in self._fars.values()
+            if far.entry.in_service
+            and far.entry.number != self.terms.own_number
+            and (kind.server_numbers is None or far.entry.number in kind.server_numbers)
+            and (not dialog.in_transit or far.entry.number == dialog.first_choice)
+        ]
+        limit = self._wait_limit(dialog, kind)
+        first = next((far for far in allowed if far.entry.number == dialog.first_choice), None)
+        if first is not None and first.entry.id not in tried and first.free and self._takes(first, limit):
+            return self._sent_to(first)
+        others = [far for far in allowed if far is not first and self._takes(far, limit)]
+        fresh = [far for far in others if far.entry.id not in tried] or others
+        if first is not None and not fresh and self._takes(first, limit):
+            fresh = [first]
+        if not fresh:
+            return None
+        one = fresh.pop(int(self._draw() * len(fresh)))
+        two = fresh.pop(int(self._draw() * len(fresh))) if fresh else one
+        best = one if one.wait(self.now) <= two.wait(self.now) else two
+        return self._sent_to(best)
+
+    def _takes(self, far: Far, limit: int) -> bool:
+        return far.sound(self.now) and far.wait(self.now) <= limit and self._cold_credit(far)
+
+    def _wait_limit(self, dialog: Dialog, kind: TrafficType) -> int:
+        if dialog.traffic_type in self._important or dialog.was_cut:
+            return int(kind.objective * IMPORTANT_WAIT_SHARE)
+        # Drawn per dialog so that a rising wait turns away a rising share, not all at one moment.
+        return int(kind.objective * (LEAST_WAIT_SHARE + WAIT_SHARE_SPAN * self._draw()))
+
+    # Cold servers
+
+    def _cold_share(self, far: Far) -> float:
+        started, warm_after = far.entry.started_at, self.terms.warm_after
+        if not started or self.now - started >= warm_after:
+            return 1.0
+        return self.terms.cold_share + (1 - self.terms.cold_share) * max(0, self.now - started) / warm_after
+
+    def _cold_credit(self, far: Far) -> bool:
+        """Whether a cold server has room for one leg from this edge proxy."""
+        share = self._cold_share(far)
+        if share >= 1:
+            return True
+        # What this edge proxy stood at warm servers is its share of what such a server can do, since
+        # stood dialogs, unlike offered ones, never exceed capacity; with no history only a trickle goes.
+        while self.now - self._span_started >= RATE_SPAN:
+            self._span_started += RATE_SPAN
+            self._stood_before, self._stood_now = self._stood_now, 0
+        warm = sum(1 for f in self._fars.values() if f.entry.in_service and self._cold_share(f) >= 1)
+        per_span = max(self._stood_before, self._stood_now) / max(1, warm)
+        per_ns = max(per_span / RATE_SPAN * share * COLD_MARGIN, 1 / (COLD_TRICKLE * self.terms.edge_proxies))
+        far.cold_credit = min(1.0, far.cold_credit + per_ns * (self.now - far.cold_filled_at))
+        far.cold_filled_at = self.now
+        return far.cold_credit >= 1
+
+    def _sent_to(self, far: Far) -> Far:
+        if self._cold_share(far) < 1:
+            far.cold_credit -= 1
+        return far
+
+    # Small things
+
+    def upkeep(self) -> Course | None:
+        return None if self.terms.list_is_pushed else self._subscription()
+
+    def _subscription(self) -> Course:
+        tries = 0
+        while (yield Subscribe()) is ListScope.FAILED:
+            tries += 1
+            yield Pause(retry_wait(tries, self._draw(), RETRY_BASE))
+
+    def _lines_busy(self, number: int) -> bool:
+        for passed in [n for n, until in self._busy_numbers.items() if until <= self.now]:
+            del self._busy_numbers[passed]
+        return number in self._busy_numbers
+
+    def _come_back(self) -> int:
+        return min(self.terms.come_back_limit, int(COME_BACK * (0.5 + self._draw())))
+
+    def _draw(self) -> float:
+        """A number from 0 up to 1, from the instance's seed and a counter alone."""
+        self._draws += 1
+        return zlib.crc32(b"%d/%d" % (self._seed, self._draws)) / 2**32
--- /dev/null
+++ b/valverouter/wirehost/codec.py
@@ -0,0 +1,348 @@
+"""The simulator's wire: its names and microseconds on one side, our words and nanoseconds on the other."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+from msgspec import UNSET, Struct, UnsetType
+
+from valverouter.interface import (
+    Abort,
+    Alarm,
+    Command,
+    Decline,
+    Deployment,
+    Dialog,
+    Leg,
+    LegResult,
+    ListScope,
+    Order,
+    Outcome,
+    Report,
+    ServerEntry,
+    Subscribe,
+    TrafficType,
+)
+
+US = 1_000
+MS = 1_000_000
+DIALLED_AGAIN, IN_TRANSIT, WAS_CUT = 2, 8, 16
+NOTE_LINE_BUSY = 4
+SCOPES = {
+    "D": ListScope.CHANGES,
+    "F": ListScope.WHOLE,
+    "C": ListScope.CACHED,
+    "X": ListScope.FAILED,
+}
+OUTCOMES = (
+    Outcome.FAULT,
+    Outcome.ENDED,
+    Outcome.FULL,
+    Outcome.TIMED_OUT,
+    Outcome.UNREACHABLE,
+    Outcome.RESET,
+    Outcome.CANCELLED,
+    Outcome.NOT_SENT,
+)
+
+
+class MalformedInputError(ValueError):
+    """A line, message, field or setting that can't be used; its text says which."""
+
+
+class Row(Struct):
+    phase: str
+    server: str
+    number: int
+    readyAtUs: int = 0
+
+
+class Page(Struct):
+    page: int
+    rows: list[Row]
+
+
+class Category(Struct):
+    name: str
+    objectiveUs: int
+    deadlineUs: int
+    importance: float = 1.0
+    lateShare: float = 0.0
+    semantics: str = "read_like"
+
+
+class Extra(Struct):
+    classCells: list[list[int]] = []
+    here: int = -1
+    releaseGuardUs: int = 0
+    repeatUs: int = 0
+
+
+class Limits(Struct):
+    sendCap: int
+    maxRetryAfterUs: int = 0
+    retryAfter: bool = False
+
+
+class LoadFields(Struct):
+    fields: list[str] = []
+
+
+class Rules(Struct):
+    startCapacity: float = 1.0
+    warmWithinUs: int = 0
+
+
+class Options(Struct):
+    categories: list[Category]
+    nInstances: int
+    discovery: str
+    limits: Limits
+    extra: Extra = msgspec.field(default_factory=Extra)
+    report: LoadFields = msgspec.field(default_factory=LoadFields)
+    rules: Rules = msgspec.field(default_factory=Rules)
+
+
+class PowerOn(Struct):
+    proxyId: str
+    seed: int
+    options: Options
+
+
+class ProxyOnly(Struct):
+    proxyId: str
+
+
+class Sync(Struct):
+    proxyId: str
+    scope: str
+    page: int = 0
+
+
+class Knock(Struct):
+    proxyId: str
+    msgId: str
+    dropDeadUs: int
+    priority: str
+    nameKey: int = 0
+    dest: int = -1
+    flags: int = 0
+
+
+class Accepted(Struct):
+    proxyId: str
+    msgId: str
+    n: int
+    server: str
+    durationUs: int
+
+
+class AttemptEnd(Struct):
+    proxyId: str
+    msgId: str
+    n: int
+    server: str
+    result: int
+    durationUs: int = 0
+    why: int = 0
+    closed: bool = False
+    feedback: list[float] = []
+
+
+class ClientGone(Struct):
+    proxyId: str
+    msgId: str
+
+
+class Fired(Struct):
+    proxyId: str
+    ref: int
+
+
+class HealthResult(Struct):
+    proxyId: str
+    server: str
+    result: int
+    durationUs: int = 0
+    feedback: list[float] = []
+
+
+class Envelope(Struct):
+    """One message: exactly one of these is set."""
+
+    snapshotRows: Page | UnsetType = UNSET
+    powerOn: PowerOn | UnsetType = UNSET
+    destroy: ProxyOnly | UnsetType = UNSET
+    sync: Sync | UnsetType = UNSET
+    knock: Knock | UnsetType = UNSET
+    accepted: Accepted | UnsetType = UNSET
+    attemptEnd: AttemptEnd | UnsetType = UNSET
+    clientGone: ClientGone | UnsetType = UNSET
+    fired: Fired | UnsetType = UNSET
+    healthResult: HealthResult | UnsetType = UNSET
+    noteFrom: ProxyOnly | UnsetType = UNSET
+
+
+class Batch(Struct):
+    tsUs: int
+    input: list[Envelope]
+
+
+Message = (
+    Page | PowerOn | ProxyOnly | Sync | Knock | Accepted | AttemptEnd | ClientGone | Fired | HealthResult
+)
+_batches = msgspec.json.Decoder(Batch)
+
+
+def read_batch(line: bytes) -> tuple[int, Iterator[tuple[str, Message]]]:
+    """The batch's clock and its messages by name; MalformedInputError names the message and the field."""
+    try:
+        batch = _batches.decode(line)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise MalformedInputError(str(error)) from None
+    return batch.tsUs * US, _messages(batch.input)
+
+
+def _messages(envelopes: list[Envelope]) -> Iterator[tuple[str, Message]]:
+    for at, envelope in enumerate(envelopes):
+        held = [
+            (name, value)
+            for name in Envelope.__struct_fields__
+            if (value := getattr(envelope, name)) is not UNSET
+        ]
+        if len(held) != 1:
+            raise MalformedInputError(
+                f"input[{at}]: a message holds exactly one known name, this one {len(held)}"
+            )
+        yield held[0]
+
+
+def deployment(options: Options) -> Deployment:
+    """The settings in our words, or MalformedInputError where they can't hold."""
+    limits, extra, rules = options.limits, options.extra, options.rules
+    if not options.categories:
+        raise MalformedInputError("powerOn: options.categories is empty")
+    for name, value, least in (
+        ("nInstances", options.nInstances, 1),
+        ("limits.sendCap", limits.sendCap, 1),
+        ("limits.maxRetryAfterUs", limits.maxRetryAfterUs, 0),
+        ("extra.releaseGuardUs", extra.releaseGuardUs, 0),
+        ("extra.repeatUs", extra.repeatUs, 0),
+        ("rules.warmWithinUs", rules.warmWithinUs, 0),
+        *((f"categories[{c.name}].objectiveUs", c.objectiveUs, 1) for c in options.categories),
+    ):
+        if value < least:
+            raise MalformedInputError(f"powerOn: options.{name} is {value}, must be {least} or more")
+    if not 0 < rules.startCapacity <= 1:
+        raise MalformedInputError("powerOn: options.rules.startCapacity must lie above 0 and not above 1")
+    if options.discovery not in ("pushed", "on_request"):
+        raise MalformedInputError(f"powerOn: options.discovery is {options.discovery!r}")
+    cells = extra.classCells
+    if cells and len(cells) != len(options.categories):
+        raise MalformedInputError("powerOn: options.extra.classCells does not match options.categories")
+    return Deployment(
+        traffic_types={
+            c.name: TrafficType(
+                objective=c.objectiveUs * US,
+                importance=c.importance,
+                late_share=c.lateShare,
+                repeatable=c.semantics == "read_like",
+                server_numbers=frozenset(cells[at]) if cells else None,
+            )
+            for at, c in enumerate(options.categories)
+        },
+        edge_proxies=options.nInstances,
+        own_number=extra.here,
+        list_is_pushed=options.discovery == "pushed",
+        legs_allowed=limits.sendCap,
+        come_back_limit=limits.maxRetryAfterUs * US if limits.retryAfter else 0,
+        release_wait=extra.releaseGuardUs * US,
+        repeat_after=extra.repeatUs * US,
+        cold_share=rules.startCapacity,
+        warm_after=rules.warmWithinUs * US,
+    )
+
+
+def scope(message: Sync) -> ListScope:
+    try:
+        return SCOPES[message.scope]
+    except KeyError:
+        raise MalformedInputError(f"sync: scope is {message.scope!r}") from None
+
+
+def entries(rows: list[Row]) -> list[ServerEntry]:
+    return [ServerEntry(r.server, r.number, r.phase == "in_service", r.readyAtUs * US) for r in rows]
+
+
+def dialog(message: Knock) -> Dialog:
+    return Dialog(
+        id=message.msgId,
+        traffic_type=message.priority,
+        no_answer_at=message.dropDeadUs * US,
+        first_choice=message.dest,
+        called_number=message.nameKey,
+        dialled_again=bool(message.flags & DIALLED_AGAIN),
+        was_cut=bool(message.flags & WAS_CUT),
+        in_transit=bool(message.flags & IN_TRANSIT),
+    )
+
+
+def standing(message: Accepted) -> LegResult:
+    return LegResult(message.msgId, message.n, message.server, Outcome.STANDS, message.durationUs * US)
+
+
+def leg_end(message: AttemptEnd, fields: list[str]) -> LegResult:
+    if not 0 <= message.result < len(OUTCOMES):
+        raise MalformedInputError(f"attemptEnd: result is {message.result}")
+    outcome = OUTCOMES[message.result]
+    if outcome is Outcome.FAULT and message.why % 16 == NOTE_LINE_BUSY:
+        outcome = Outcome.LINE_BUSY
+    return LegResult(
+        dialog_id=message.msgId,
+        leg=message.n,
+        server=message.server,
+        outcome=outcome,
+        delay=message.durationUs * US,
+        asked_wait=message.why // 16 * MS if outcome is Outcome.FULL and message.why % 16 == 3 else 0,
+        dialog_closed=message.closed,
+        report=report(message.feedback, fields),
+    )
+
+
+def report(row: list[float], fields: list[str]) -> Report:
+    told = {name: value for name, value in zip(fields, row, strict=False) if value >= 0}
+    wait = told.get("recent_ms")
+    return Report(
+        free_lines=told.get("idle"),
+        lines=told.get("circuits"),
+        utilization=told.get("utilization"),
+        backlog=told.get("backlog"),
+        wait=None if wait is None else round(wait * MS),
+    )
+
+
+def step(proxy: str, command: Command) -> dict[str, Any]:
+    """One command as an action of the wire; microseconds are rounded so that no wait gets shorter."""
+    match command:
+        case Order(dialog_id=id_, wish=Leg(server=server, until=until)):
+            body = {"proxyId": proxy, "msgId": id_, "server": server, "untilUs": until // US}
+            return {"forward": body}
+        case Order(dialog_id=id_, wish=Decline(come_back=come_back)):
+            return {"notNow": {"proxyId": proxy, "msgId": id_, "coolDownUs": come_back // US}}
+        case Order(dialog_id=id_, wish=Abort()):
+            return {"surrender": {"proxyId": proxy, "msgId": id_}}
+        case Alarm(span=span, ref=ref):
+            return {"setAlarm": {"proxyId": proxy, "spanUs": -(-span // US), "ref": ref}}
+        case Subscribe():
+            return {"watch": {"proxyId": proxy, "enable": True}}
+    raise AssertionError(command)
+
+
+def fatal(proxy: str, text: str) -> dict[str, Any]:
+    return {"fatal": {"proxyId": proxy, "message": text}}
+
+
+def write_reply(steps: list[dict[str, Any]]) -> bytes:
+    return msgspec.json.encode({"steps": steps}) + b"\n"
