Bound unanswered legs per server by a window that late answers cut

Cause: waits of seconds persisted since each edge proxy went on sending until answers came back late. Covers any loss of capacity, silent or slow servers; harms where answers are late for reasons other than load (far links).

--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -55,6 +55,14 @@
 WAIT_SHARE_SPAN = 0.2
 IMPORTANT_WAIT_SHARE = 0.6
 
+# Unanswered legs that a server may hold of ours: the count at first and at most, what a prompt answer adds,
+# what remains after a late one or a failure, and which share of the least objective counts as prompt.
+WINDOW_FIRST = 4.0
+WINDOW_MOST = 8.0
+WINDOW_GROWS = 0.5
+WINDOW_KEEPS = 0.6
+PROMPT_SHARE = 0.3
+
 # How long a number whose lines were all busy is taken to stay so.
 BUSY_NUMBER = 2 * SECOND
 
@@ -121,6 +129,8 @@
         self.heard_at = now
         # Unanswered legs by (dialog, leg) with their time of sending; emptied by their results.
         self.out: dict[tuple[str, int], int] = {}
+        self.window = WINDOW_FIRST
+        self.cut_at = now
         self.failures = 0
         self.shunned_until = 0
         self.cold_credit = 0.0
@@ -140,6 +150,14 @@
         self.delay = int(self.delay + NEW_DELAY_WEIGHT * (delay - self.delay)) if self.delay else delay
         self.heard_at = now
 
+    def adapt(self, prompt: bool, sent_at: int, now: int) -> None:
+        # Once for each round trip: legs sent before the last cut tell of the same trouble again.
+        if prompt:
+            self.window = min(WINDOW_MOST, self.window + WINDOW_GROWS / self.window)
+        elif sent_at >= self.cut_at:
+            self.window = max(1.0, self.window * WINDOW_KEEPS)
+            self.cut_at = now
+
     def sound(self, now: int) -> bool:
         # A server whose last news was a failure gets one leg at a time, after a growing pause: it is
         # neither shut out for good nor flooded when it returns.
@@ -163,6 +181,7 @@
         self._stood_now = 0
         self._stood_before = 0
         least = min(t.importance for t in deployment.traffic_types.values())
+        self._prompt = int(PROMPT_SHARE * min(t.objective for t in deployment.traffic_types.values()))
         self._important = {n for n, t in deployment.traffic_types.items() if t.importance > least}
 
     # News
@@ -206,10 +225,12 @@
         if result.outcome in answered:
             far.failures = 0
             far.heard(self.now - sent_at, self.now)
+            far.adapt(self.now - sent_at <= self._prompt, sent_at, self.now)
             if result.outcome is Outcome.STANDS and self._cold_share(far) >= 1:
                 self._stood_now += 1
             return
         far.failures += 1
+        far.adapt(False, sent_at, self.now)
         far.heard(max(self.now - sent_at, result.asked_wait, far.delay), self.now)
         far.shunned_until = self.now + max(
             result.asked_wait, min(SHUN_CAP, SHUN_BASE << min(far.failures - 1, 16))
@@ -286,7 +307,7 @@
         return self._sent_to(best)
 
     def _takes(self, far: Far, limit: int) -> bool:
-        return far.sound(self.now) and far.wait(self.now) <= limit and self._cold_credit(far)
+        return len(far.out) < far.window and far.sound(self.now) and far.wait(self.now) <= limit and self._cold_credit(far)
 
     def _wait_limit(self, dialog: Dialog, kind: TrafficType) -> int:
         if dialog.traffic_type in self._important or dialog.was_cut:
