--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -63,6 +63,9 @@
 WINDOW_KEEPS = 0.6
 PROMPT_SHARE = 0.3
 
+# How long news that a server has no free agent holds without being told again.
+NO_AGENT_HOLDS = 1 * SECOND
+
 # How long a number whose lines were all busy is taken to stay so.
 BUSY_NUMBER = 2 * SECOND
 
@@ -123,7 +126,7 @@
     def __init__(self, entry: ServerEntry, now: int) -> None:
         self.entry = entry
         self.budget = RetryBudget()
-        self.free = True
+        self.no_agent_until = 0
         self.told_wait: int | None = None
         self.delay = 0
         self.heard_at = now
@@ -207,7 +210,7 @@
         if far is None:
             return
         if report.free_lines is not None:
-            far.free = report.free_lines >= 1
+            far.no_agent_until = self.now + NO_AGENT_HOLDS if report.free_lines < 1 else 0
         if report.wait is not None:
             far.told_wait = report.wait
 
@@ -221,6 +224,10 @@
         sent_at = far.out.pop((result.dialog_id, result.leg), None)
         if sent_at is None or result.outcome in (Outcome.NOT_SENT, Outcome.CANCELLED):
             return
+        if result.outcome is Outcome.NO_AGENT:
+            # Said of the lines, not of the processor: it is neither slow nor ailing.
+            far.no_agent_until = self.now + NO_AGENT_HOLDS
+            return
         answered = (Outcome.STANDS, Outcome.ENDED, Outcome.LINE_BUSY, Outcome.FAULT)
         if result.outcome in answered:
             far.failures = 0
@@ -265,7 +272,15 @@
                 self._busy_numbers[dialog.called_number] = self.now + BUSY_NUMBER
                 yield Abort()
                 return
-            proven_unrun = outcome in (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
+            if outcome is Outcome.NO_AGENT and legs < self.terms.legs_allowed:
+                # The news was older than the lines: the server rule goes on at once, nothing has failed.
+                continue
+            proven_unrun = outcome in (
+                Outcome.FULL,
+                Outcome.NO_AGENT,
+                Outcome.UNREACHABLE,
+                Outcome.NOT_SENT,
+            )
             if outcome is Outcome.NOT_SENT or self.now >= dialog.no_answer_at:
                 # The caller's time is over, or nothing was sent: neither says anything of the server.
                 yield Abort()
@@ -293,7 +308,7 @@
         ]
         limit = self._wait_limit(dialog, kind)
         first = next((far for far in allowed if far.entry.number == dialog.first_choice), None)
-        if first is not None and first.entry.id not in tried and first.free and self._takes(first, limit):
+        if first is not None and first.entry.id not in tried and self._takes(first, limit):
             return self._sent_to(first)
         others = [far for far in allowed if far is not first and self._takes(far, limit)]
         fresh = [far for far in others if far.entry.id not in tried] or others
@@ -307,7 +322,13 @@
         return self._sent_to(best)
 
     def _takes(self, far: Far, limit: int) -> bool:
-        return len(far.out) < far.window and far.sound(self.now) and far.wait(self.now) <= limit and self._cold_credit(far)
+        return (
+            self.now >= far.no_agent_until
+            and len(far.out) < far.window
+            and far.sound(self.now)
+            and far.wait(self.now) <= limit
+            and self._cold_credit(far)
+        )
 
     def _wait_limit(self, dialog: Dialog, kind: TrafficType) -> int:
         if dialog.traffic_type in self._important or dialog.was_cut:
--- a/valverouter/interface.py
+++ b/valverouter/interface.py
@@ -18,6 +18,7 @@
     LINE_BUSY = auto()
     FAULT = auto()
     FULL = auto()
+    NO_AGENT = auto()
     TIMED_OUT = auto()
     UNREACHABLE = auto()
     RESET = auto()
--- a/valverouter/wirehost/codec.py
+++ b/valverouter/wirehost/codec.py
@@ -29,7 +29,7 @@
 US = 1_000
 MS = 1_000_000
 DIALLED_AGAIN, IN_TRANSIT, WAS_CUT = 2, 8, 16
-NOTE_LINE_BUSY = 4
+NOTE_NO_AGENT, NOTE_LINE_BUSY = 1, 4
 SCOPES = {
     "D": ListScope.CHANGES,
     "F": ListScope.WHOLE,
@@ -299,6 +299,8 @@
     outcome = OUTCOMES[message.result]
     if outcome is Outcome.FAULT and message.why % 16 == NOTE_LINE_BUSY:
         outcome = Outcome.LINE_BUSY
+    if outcome is Outcome.FULL and message.why % 16 == NOTE_NO_AGENT:
+        outcome = Outcome.NO_AGENT
     return LegResult(
         dialog_id=message.msgId,
         leg=message.n,
