Judge a cold server's credit by its lines against those of warm servers

Servers differ up to sevenfold in lines; a big server's replacement got the trickle of an average one.

--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -128,6 +128,7 @@
         self.budget = RetryBudget()
         self.no_agent_until = 0
         self.told_wait: int | None = None
+        self.lines = 1.0
         self.delay = 0
         self.heard_at = now
         # Unanswered legs by (dialog, leg) with their time of sending; emptied by their results.
@@ -211,6 +212,8 @@
             return
         if report.free_lines is not None:
             far.no_agent_until = self.now + NO_AGENT_HOLDS if report.free_lines < 1 else 0
+        if report.lines:
+            far.lines = report.lines
         if report.wait is not None:
             far.told_wait = report.wait
 
@@ -354,8 +357,9 @@
         while self.now - self._span_started >= RATE_SPAN:
             self._span_started += RATE_SPAN
             self._stood_before, self._stood_now = self._stood_now, 0
-        warm = sum(1 for f in self._fars.values() if f.entry.in_service and self._cold_share(f) >= 1)
-        per_span = max(self._stood_before, self._stood_now) / max(1, warm)
+        # Servers differ many times over in size, and their lines are planned for what they can set up.
+        lines = sum(f.lines for f in self._fars.values() if f is not far and self._cold_share(f) >= 1)
+        per_span = max(self._stood_before, self._stood_now) * far.lines / max(far.lines, lines)
         per_ns = max(per_span / RATE_SPAN * share * COLD_MARGIN, 1 / (COLD_TRICKLE * self.terms.edge_proxies))
         far.cold_credit = min(1.0, far.cold_credit + per_ns * (self.now - far.cold_filled_at))
         far.cold_filled_at = self.now
