--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -59,6 +59,7 @@
 # what remains after a late one or a failure, and which share of the least objective counts as prompt.
 WINDOW_FIRST = 4.0
 WINDOW_MOST = 8.0
+WINDOW_LEAST = 0.2
 WINDOW_GROWS = 0.5
 WINDOW_KEEPS = 0.6
 PROMPT_SHARE = 0.3
@@ -157,11 +158,17 @@
     def adapt(self, prompt: bool, sent_at: int, now: int) -> None:
         # Once for each round trip: legs sent before the last cut tell of the same trouble again.
         if prompt:
-            self.window = min(WINDOW_MOST, self.window + WINDOW_GROWS / self.window)
+            self.window = min(WINDOW_MOST, self.window + WINDOW_GROWS * min(self.window, 1 / self.window))
         elif sent_at >= self.cut_at:
-            self.window = max(1.0, self.window * WINDOW_KEEPS)
+            self.window = max(WINDOW_LEAST, self.window * WINDOW_KEEPS)
             self.cut_at = now
 
+    def open(self, now: int) -> bool:
+        # Under one leg, the window is a pace: many edge proxies with a leg each drown a small server.
+        if self.window >= 1:
+            return len(self.out) < self.window
+        return not self.out and now - self.heard_at >= self.delay * (1 / self.window - 1)
+
     def sound(self, now: int) -> bool:
         # A server whose last news was a failure gets one leg at a time, after a growing pause: it is
         # neither shut out for good nor flooded when it returns.
@@ -180,10 +187,10 @@
         self._fars: dict[str, Far] = {}
         # Called numbers whose lines were all busy, until when; emptied as they pass.
         self._busy_numbers: dict[int, int] = {}
-        # Dialogs stood at warm servers, in this span of time and the one before.
+        # Dialogs stood for each line of the warm servers, in this span of time and the one before.
         self._span_started = now
-        self._stood_now = 0
-        self._stood_before = 0
+        self._stood_now = 0.0
+        self._stood_before = 0.0
         least = min(t.importance for t in deployment.traffic_types.values())
         self._prompt = int(PROMPT_SHARE * min(t.objective for t in deployment.traffic_types.values()))
         self._important = {n for n, t in deployment.traffic_types.items() if t.importance > least}
@@ -237,7 +244,8 @@
             far.heard(self.now - sent_at, self.now)
             far.adapt(self.now - sent_at <= self._prompt, sent_at, self.now)
             if result.outcome is Outcome.STANDS and self._cold_share(far) >= 1:
-                self._stood_now += 1
+                warm = (f for f in self._fars.values() if f.entry.in_service and self._cold_share(f) >= 1)
+                self._stood_now += 1 / max(far.lines, sum(f.lines for f in warm))
             return
         far.failures += 1
         far.adapt(False, sent_at, self.now)
@@ -356,10 +364,9 @@
         # stood dialogs, unlike offered ones, never exceed capacity; with no history only a trickle goes.
         while self.now - self._span_started >= RATE_SPAN:
             self._span_started += RATE_SPAN
-            self._stood_before, self._stood_now = self._stood_now, 0
+            self._stood_before, self._stood_now = self._stood_now, 0.0
         # Servers differ many times over in size, and their lines are planned for what they can set up.
-        lines = sum(f.lines for f in self._fars.values() if f is not far and self._cold_share(f) >= 1)
-        per_span = max(self._stood_before, self._stood_now) * far.lines / max(far.lines, lines)
+        per_span = max(self._stood_before, self._stood_now) * far.lines
         per_ns = max(per_span / RATE_SPAN * share * COLD_MARGIN, 1 / (COLD_TRICKLE * self.terms.edge_proxies))
         far.cold_credit = min(1.0, far.cold_credit + per_ns * (self.now - far.cold_filled_at))
         far.cold_filled_at = self.now
