--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -49,10 +49,10 @@
         self.now = now
         self.driver = Driver(replace(DEPLOYMENT, **terms), 7, now)
         self.control = self.driver.control
-        self.list([ServerEntry(f"s{n}", n, True) for n in range(servers)], ListScope.CACHED)
+        self.listed([ServerEntry(f"s{n}", n, True) for n in range(servers)], ListScope.CACHED)
         self.dialogs = 0
 
-    def list(self, entries: list[ServerEntry], scope: ListScope = ListScope.CHANGES) -> None:
+    def listed(self, entries: list[ServerEntry], scope: ListScope = ListScope.CHANGES) -> None:
         self.driver.server_list(scope, entries)
 
     def ahead(self, span: int) -> None:
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,268 @@
+"""The decisions: budget, order of reasons, waits, choice of server, the five rules, each failure found."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.helpers import MS, SECOND, Rig
+from valverouter import control
+from valverouter.control import RetryBudget, Verdict, decide, retry_wait
+from valverouter.interface import ListScope, Outcome, Report, ServerEntry
+
+
+@pytest.mark.parametrize(
+    ("failures", "stands", "tokens", "allows"),
+    [
+        (0, 0, 10_000, True),
+        (0, 3, 10_000, True),
+        (4, 0, 6_000, True),
+        (5, 0, 5_000, False),
+        (5, 1, 5_100, True),
+        (10, 0, 0, False),
+        (12, 50, 5_000, False),
+        (12, 51, 5_100, True),
+    ],
+)
+def test_budget(failures: int, stands: int, tokens: int, allows: bool) -> None:
+    budget = RetryBudget()
+    for _ in range(failures):
+        budget.failed()
+    for _ in range(stands):
+        budget.stood()
+    assert (budget.tokens, budget.allows_retry) == (tokens, allows)
+
+
+@pytest.mark.parametrize(
+    ("tokens", "legs", "again_at", "verdict"),
+    [
+        (10_000, 1, 99, Verdict.AGAIN),
+        (6_000, 1, 99, Verdict.THROTTLED),
+        (6_001, 1, 99, Verdict.AGAIN),
+        (6_000, 3, 100, Verdict.EXHAUSTED),
+        (6_000, 1, 100, Verdict.THROTTLED),
+        (10_000, 1, 100, Verdict.EXPIRED),
+    ],
+)
+def test_order_of_reasons(tokens: int, legs: int, again_at: int, verdict: Verdict) -> None:
+    budget = RetryBudget()
+    budget.tokens = tokens
+    assert decide(budget, legs, 3, again_at, 100) is verdict
+    assert budget.tokens == tokens - 1_000
+
+
+@pytest.mark.parametrize(
+    ("retry", "draw", "least", "wait"),
+    [
+        (1, 0.0, 0, 0),
+        (1, 0.5, 0, 100 * MS),
+        (2, 0.5, 0, 200 * MS),
+        (5, 0.5, 0, SECOND),
+        (99, 0.999, 0, 1998 * MS),
+        (1, 0.5, 300 * MS, 300 * MS),
+    ],
+)
+def test_retry_wait(retry: int, draw: float, least: int, wait: int) -> None:
+    assert retry_wait(retry, draw, least) == wait
+
+
+@pytest.mark.parametrize(
+    ("terms", "kind", "first", "said"),
+    [
+        ({}, "plain", 2, "s2"),
+        ({"servers": 0}, "plain", 0, "declined"),
+        ({"servers": 1}, "plain", 5, "s0"),
+        ({"servers": 1}, "only-1", 0, "declined"),
+        ({"servers": 2}, "only-1", 0, "s1"),
+        ({"servers": 2, "own_number": 0}, "plain", 0, "s1"),
+        ({}, "unknown", 0, "declined"),
+    ],
+)
+def test_first_choice(terms: dict[str, int], kind: str, first: int, said: str) -> None:
+    rig = Rig(**terms)
+    rig.dialog(first, kind)
+    assert rig.said() == said
+
+
+def test_dialog_in_transit_goes_nowhere_else() -> None:
+    rig = Rig(servers=2)
+    rig.dialog(9, in_transit=True)
+    assert rig.said() == "declined"
+
+
+@pytest.mark.parametrize(
+    ("outcome", "more", "said"),
+    [
+        (Outcome.LINE_BUSY, {}, "aborted"),
+        (Outcome.NOT_SENT, {}, "aborted"),
+        (Outcome.FULL, {}, "waits"),
+        (Outcome.FULL, {"asked_wait": 3 * SECOND}, "declined"),
+        (Outcome.TIMED_OUT, {}, "waits"),
+        (Outcome.RESET, {}, "waits"),
+        (Outcome.UNREACHABLE, {}, "waits"),
+        (Outcome.NO_AGENT, {}, "s1"),
+        (Outcome.STANDS, {}, ""),
+    ],
+)
+def test_what_follows_a_leg(outcome: Outcome, more: dict[str, int], said: str) -> None:
+    rig = Rig(servers=2)
+    id_ = rig.dialog(0)
+    rig.take()
+    rig.result(id_, "s0", outcome, **more)
+    assert rig.said() == said
+
+
+@pytest.mark.parametrize(
+    ("kind", "outcome", "said"), [("once", Outcome.TIMED_OUT, "aborted"), ("once", Outcome.FULL, "waits")]
+)
+def test_no_repeated_effect(kind: str, outcome: Outcome, said: str) -> None:
+    rig = Rig(servers=2)
+    rig.result(rig.dialog(0, kind), "s0", outcome)
+    assert rig.said().removeprefix("s0 ") == said
+
+
+@pytest.mark.parametrize("outcome", [Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED])
+@pytest.mark.parametrize("release", [0, 300 * MS, 900 * MS])
+def test_release_is_awaited_and_one_leg_is_out(outcome: Outcome, release: int) -> None:
+    rig = Rig(servers=2, release_wait=release)
+    id_ = rig.dialog(0)
+    rig.result(id_, "s0", outcome)
+    told = rig.now
+    rig.result(id_, "s0", outcome)
+    rig.wake()
+    assert rig.now - told >= release
+    assert rig.said() == "s1"
+
+
+@pytest.mark.parametrize(("ahead", "said"), [(2900 * MS, "declined"), (3 * SECOND, "aborted")])
+def test_answer_in_time_after_a_late_time_out(ahead: int, said: str) -> None:
+    rig = Rig()
+    id_ = rig.dialog(0)
+    rig.take()
+    rig.ahead(ahead)
+    rig.result(id_, "s0", Outcome.TIMED_OUT)
+    rig.result(id_, "s0", Outcome.TIMED_OUT)
+    assert rig.said() == said
+    assert rig.driver.open_dialogs == 0
+    tokens = next(iter(rig.control._fars.values())).budget.tokens
+    assert tokens == (9_000 if said == "declined" else 10_000)
+
+
+def test_nothing_after_the_caller_is_gone_but_the_server_is_learnt() -> None:
+    rig = Rig()
+    id_ = rig.dialog(0)
+    rig.driver.caller_gone(id_)
+    rig.take()
+    rig.ahead(700 * MS)
+    rig.result(id_, "s0", Outcome.STANDS, dialog_closed=True)
+    assert rig.said() == ""
+    assert rig.control._fars["s0"].delay == 700 * MS
+
+
+@pytest.mark.parametrize("scope", [ListScope.CHANGES, ListScope.WHOLE])
+def test_nothing_new_to_a_server_told_gone(scope: ListScope) -> None:
+    rig = Rig(servers=2)
+    id_ = rig.dialog(0)
+    rig.listed([ServerEntry("s0", 0, False), ServerEntry("s1", 1, True)], scope)
+    rig.result(id_, "s0", Outcome.FULL)
+    rig.wake()
+    rig.dialog(0)
+    assert rig.said() == "s1 s1"
+
+
+def cold_rig(age: int, proxies: int = 4) -> Rig:
+    rig = Rig(servers=1, edge_proxies=proxies)
+    rig.listed([ServerEntry("s0", 0, True, rig.now - age)])
+    return rig
+
+
+@pytest.mark.parametrize(("age", "most"), [(0, 2), (20 * SECOND, 1000)])
+def test_cold_server_gets_a_share_also_with_no_history(age: int, most: int) -> None:
+    rig = cold_rig(age)
+    sent = 0
+    for _ in range(40):
+        rig.ahead(100 * MS)
+        id_ = rig.dialog(0)
+        if rig.said() == "s0":
+            sent += 1
+            rig.result(id_, "s0", Outcome.STANDS)
+    assert sent <= most
+    assert sent or age == 0
+
+
+def test_restart_under_the_same_id_starts_full() -> None:
+    rig = Rig(servers=1)
+    for _ in range(2):
+        rig.result(rig.dialog(0), "s0", Outcome.TIMED_OUT)
+        rig.ahead(5 * SECOND)
+    assert rig.control._fars["s0"].budget.tokens < 10_000
+    rig.listed([ServerEntry("s0", 0, True, rig.now)])
+    assert rig.control._fars["s0"].budget.tokens == 10_000
+
+
+@pytest.mark.parametrize(("quiet", "said"), [(100 * MS, "s0"), (1400 * MS, "s1")])
+def test_silent_server_is_passed_by_on_its_unanswered_legs_age(quiet: int, said: str) -> None:
+    rig = Rig(servers=2)
+    rig.dialog(0)
+    rig.take()
+    rig.ahead(quiet)
+    rig.dialog(0)
+    assert rig.said() == said
+
+
+def test_failing_server_gets_single_legs_after_growing_pauses_but_is_never_shut_out() -> None:
+    rig = Rig(servers=1)
+    sent_at: list[int] = []
+    for _ in range(400):
+        rig.ahead(100 * MS)
+        id_ = rig.dialog(0, no_answer=50 * MS)
+        if rig.said().startswith("s0"):
+            sent_at.append(rig.now)
+            rig.result(id_, "s0", Outcome.RESET)
+    gaps = [b - a for a, b in zip(sent_at, sent_at[1:], strict=False)]
+    assert gaps[0] < gaps[-1] <= control.SHUN_CAP + 3 * SECOND
+
+
+@pytest.mark.parametrize(("delay", "grows"), [(50 * MS, True), (1400 * MS, False)])
+def test_window_follows_own_delays(delay: int, grows: bool) -> None:
+    rig = Rig(servers=1)
+    id_ = rig.dialog(0)
+    rig.ahead(delay)
+    rig.result(id_, "s0", Outcome.STANDS)
+    assert (rig.control._fars["s0"].window > control.WINDOW_FIRST) is grows
+
+
+def test_no_agent_is_not_held_against_the_processor() -> None:
+    rig = Rig(servers=1)
+    rig.result(rig.dialog(0), "s0", Outcome.NO_AGENT)
+    far = rig.control._fars["s0"]
+    assert (far.failures, far.window, far.budget.tokens) == (0, control.WINDOW_FIRST, 10_000)
+    assert rig.said() == "s0 declined"
+    rig.control.report("s0", Report(free_lines=4, lines=9))
+    rig.dialog(0)
+    assert rig.said() == "s0"
+
+
+def test_busy_number_is_left_alone_for_a_while() -> None:
+    rig = Rig()
+    rig.result(rig.dialog(0, called_number=5), "s0", Outcome.LINE_BUSY)
+    rig.dialog(0, called_number=5)
+    rig.dialog(0, called_number=6)
+    rig.ahead(control.BUSY_NUMBER)
+    rig.dialog(0, called_number=5)
+    assert rig.said() == "s0 aborted declined s0 s1"
+    assert not rig.control._busy_numbers
+
+
+def test_list_is_asked_for_until_it_comes() -> None:
+    rig = Rig(list_is_pushed=False)
+    assert rig.said() == "asks"
+    rig.listed([], ListScope.FAILED)
+    rig.wake()
+    assert rig.said() == "asks"
+    rig.listed([], ListScope.CHANGES)
+    assert rig.said() == ""
+
+
+@pytest.mark.parametrize("limit", [0, 400 * MS])
+def test_come_back_keeps_to_what_callers_heed(limit: int) -> None:
+    assert Rig(come_back_limit=limit).control._come_back() <= limit
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,122 @@
+"""The adapter: a round trip on the wire, and plain words on what is malformed."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from typing import Any
+
+import pytest
+
+from valverouter.wirehost.__main__ import Host
+from valverouter.wirehost.codec import MalformedInputError
+
+OPTIONS: dict[str, Any] = {
+    "categories": [{"name": "booking", "objectiveUs": 1_500_000, "deadlineUs": 9_000_000}],
+    "nInstances": 2,
+    "discovery": "pushed",
+    "limits": {"sendCap": 3, "maxRetryAfterUs": 2_000_000, "retryAfter": True},
+    "extra": {"classCells": [[0]], "releaseGuardUs": 300_000, "brandNew": 1},
+    "report": {"fields": ["idle", "circuits", "recent_ms"]},
+}
+ROW = {"phase": "in_service", "number": 0, "server": "s.a"}
+KNOCK = {"proxyId": "p/0", "msgId": "id-1", "dropDeadUs": 3_000_000, "priority": "booking", "dest": 0}
+END = {"proxyId": "p/0", "msgId": "id-1", "n": 0, "server": "s.a"}
+START: list[dict[str, Any]] = [
+    {"powerOn": {"proxyId": "p/0", "seed": 3, "options": OPTIONS}},
+    {"snapshotRows": {"page": 0, "rows": [ROW]}},
+    {"sync": {"proxyId": "p/0", "scope": "C", "page": 0}},
+]
+
+
+def line(messages: Any, now: Any = 1_000) -> bytes:
+    return json.dumps({"tsUs": now, "input": messages}).encode()
+
+
+def steps(host: Host, *messages: Any) -> list[Any]:
+    answer: list[Any] = json.loads(host.reply(line(list(messages))))["steps"]
+    return answer
+
+
+SENT = {"forward": {"proxyId": "p/0", "msgId": "id-1", "server": "s.a", "untilUs": 3_000_000}}
+
+
+@pytest.mark.parametrize(
+    ("event", "action"),
+    [
+        ({"accepted": {**END, "durationUs": 9}}, None),
+        ({"attemptEnd": {**END, "result": 0, "why": 4}}, "surrender"),
+        ({"attemptEnd": {**END, "result": 2, "why": 3 + 16 * 500}}, "setAlarm"),
+        ({"attemptEnd": {**END, "result": 2, "why": 3 + 16 * 5000}}, "notNow"),
+        ({"attemptEnd": {**END, "result": 2, "why": 1}}, "notNow"),
+        ({"attemptEnd": {**END, "result": 1, "closed": True}}, None),
+        ({"clientGone": {"proxyId": "p/0", "msgId": "id-1"}}, None),
+        ({"clientGone": {"proxyId": "p/0", "msgId": "never-seen"}}, None),
+        ({"healthResult": {"proxyId": "p/0", "server": "s.a", "result": 1, "feedback": [3, 9, -1]}}, None),
+        ({"noteFrom": {"proxyId": "p/0", "neighbour": 1, "contents": "aGk="}}, None),
+        ({"fired": {"proxyId": "p/0", "ref": 99}}, None),
+        ({"destroy": {"proxyId": "p/0"}}, None),
+    ],
+)
+def test_events_and_actions(event: dict[str, Any], action: str | None) -> None:
+    host = Host()
+    assert steps(host, *START, {"knock": KNOCK}) == [SENT]
+    assert [next(iter(s)) for s in steps(host, event)] == ([action] if action else [])
+
+
+def test_restart_in_one_batch_forgets_and_pages_are_reused() -> None:
+    host = Host()
+    steps(host, *START, {"knock": KNOCK})
+    again = {"snapshotRows": {"page": 0, "rows": [{**ROW, "server": "s.b"}]}}
+    said = steps(host, {"destroy": {"proxyId": "p/0"}}, START[0], again, START[2], {"knock": KNOCK})
+    assert said[0]["forward"]["server"] == "s.b"
+
+
+BAD_OPTIONS: dict[str, dict[str, Any]] = {
+    "categories": {"categories": []},
+    "nInstances": {"nInstances": 0},
+    "sendCap": {"limits": {"sendCap": 0}},
+    "startCapacity": {"rules": {"startCapacity": 0.0}},
+    "discovery": {"discovery": "psychic"},
+    "classCells": {"extra": {"classCells": [[0], [1]]}},
+}
+
+
+@pytest.mark.parametrize(
+    ("bad", "words"),
+    [
+        (b"not json", ("malformed",)),
+        (b'{"tsUs":1}', ("input",)),
+        (line([], now="x"), ("tsUs",)),
+        (line([{"knock": {**KNOCK, "msgId": 4}}]), ("knock", "msgId")),
+        (line([{"attemptEnd": {**END}}]), ("attemptEnd", "result")),
+        (line([START[0], {"attemptEnd": {**END, "result": 12}}]), ("attemptEnd", "result")),
+        (line([{}]), ("input[0]",)),
+        (line([START[0], {"sync": {"proxyId": "p/0", "scope": "Q", "page": 0}}]), ("sync", "scope")),
+        (line([START[0], {"sync": {"proxyId": "p/0", "scope": "F", "page": 7}}]), ("sync", "page")),
+        *(
+            (line([{"powerOn": {"proxyId": "p/0", "seed": 1, "options": {**OPTIONS, **part}}}]), (name,))
+            for name, part in BAD_OPTIONS.items()
+        ),
+    ],
+)
+def test_malformed_input_is_named(bad: bytes, words: tuple[str, ...]) -> None:
+    with pytest.raises(MalformedInputError) as caught:
+        Host().reply(bad)
+    assert all(word in str(caught.value) for word in words)
+
+
+def test_process_ends_plainly_on_malformed_input() -> None:
+    done = subprocess.run(
+        [sys.executable, "-m", "valverouter.wirehost"], input=b"{}\n", capture_output=True, check=False
+    )
+    assert (done.returncode, done.stdout) == (2, b"")
+    assert done.stderr.count(b"\n") == 1
+
+
+def test_unexpected_exception_becomes_fatal(monkeypatch: pytest.MonkeyPatch) -> None:
+    host = Host()
+    steps(host, *START)
+    monkeypatch.setattr("valverouter.control.Control.dialog", lambda *_: 1 / 0)
+    assert "ZeroDivisionError" in steps(host, {"knock": KNOCK})[0]["fatal"]["message"]
