Ask declined callers back within the setup objective, about 0.25 s, jittered

Cause: a come-back of about 1 s put the next try past the setup objective, where a dialog earns a quarter at most.

--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -71,11 +71,11 @@
 BUSY_NUMBER = 2 * SECOND
 
 # The share of own warm traffic that a cold server gets of what its assumed capacity would allow.
-COLD_MARGIN = 0.8
+COLD_MARGIN = 1.3
 RATE_SPAN = 10 * SECOND
 COLD_TRICKLE = 2 * SECOND
 
-COME_BACK = 1 * SECOND
+COME_BACK = SECOND // 4
 
 
 class Verdict(Enum):
