--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -38,6 +38,7 @@
     release_wait=300 * MS,
     repeat_after=0,
     cold_share=0.35,
+    tip_multiple=2.5,
     warm_after=15 * SECOND,
 )
 
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -70,8 +70,8 @@
 # How long a number whose lines were all busy is taken to stay so.
 BUSY_NUMBER = 2 * SECOND
 
-# The share of own warm traffic that a cold server gets of what its assumed capacity would allow.
-COLD_MARGIN = 1.3
+# How much of our share of a cold server's tipping load we use.
+COLD_MARGIN = 0.75
 RATE_SPAN = 10 * SECOND
 COLD_TRICKLE = 2 * SECOND
 
@@ -367,7 +367,10 @@
             self._stood_before, self._stood_now = self._stood_now, 0.0
         # Servers differ many times over in size, and their lines are planned for what they can set up.
         per_span = max(self._stood_before, self._stood_now) * far.lines
-        per_ns = max(per_span / RATE_SPAN * share * COLD_MARGIN, 1 / (COLD_TRICKLE * self.terms.edge_proxies))
+        per_ns = max(
+            per_span / RATE_SPAN * share * COLD_MARGIN * self.terms.tip_multiple,
+            1 / (COLD_TRICKLE * self.terms.edge_proxies),
+        )
         far.cold_credit = min(1.0, far.cold_credit + per_ns * (self.now - far.cold_filled_at))
         far.cold_filled_at = self.now
         return far.cold_credit >= 1
--- a/valverouter/interface.py
+++ b/valverouter/interface.py
@@ -59,6 +59,7 @@
     release_wait: int
     repeat_after: int
     cold_share: float
+    tip_multiple: float
     warm_after: int
 
 
--- a/valverouter/wirehost/codec.py
+++ b/valverouter/wirehost/codec.py
@@ -92,6 +92,7 @@
 
 class Rules(Struct):
     startCapacity: float = 1.0
+    tipMultiple: float = 1.0
     warmWithinUs: int = 0
 
 
@@ -237,6 +238,8 @@
             raise MalformedInputError(f"powerOn: options.{name} is {value}, must be {least} or more")
     if not 0 < rules.startCapacity <= 1:
         raise MalformedInputError("powerOn: options.rules.startCapacity must lie above 0 and not above 1")
+    if rules.tipMultiple <= 0:
+        raise MalformedInputError("powerOn: options.rules.tipMultiple must lie above 0")
     if options.discovery not in ("pushed", "on_request"):
         raise MalformedInputError(f"powerOn: options.discovery is {options.discovery!r}")
     cells = extra.classCells
@@ -261,6 +264,7 @@
         release_wait=extra.releaseGuardUs * US,
         repeat_after=extra.repeatUs * US,
         cold_share=rules.startCapacity,
+        tip_multiple=rules.tipMultiple,
         warm_after=rules.warmWithinUs * US,
     )
 
