Take stalls of our own out of every age and delay by a heartbeat

Told from slow servers: all servers late at once, after a gap in our own clock. Covers any pause of the host; a clock that jumps ahead looks the same.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
+from valverouter import control
 from valverouter.driver import Driver
 from valverouter.interface import (
     Abort,
@@ -57,7 +58,10 @@
         self.driver.server_list(scope, entries)
 
     def ahead(self, span: int) -> None:
-        self.now += span
+        for _ in range(span // MS):
+            self.now += MS
+            self.driver.tick(self.now)
+        self.now += span % MS
         self.driver.tick(self.now)
 
     def dialog(self, first: int = 0, kind: str = "plain", no_answer: int = 3 * SECOND, **more: Any) -> str:
@@ -77,6 +81,8 @@
         words = []
         for command in self.take():
             match command:
+                case Alarm(span=control.HEARTBEAT):
+                    continue
                 case Order(wish=Decline()):
                     words.append("declined")
                 case Order(wish=Abort()):
@@ -91,6 +97,6 @@
 
     def wake(self) -> None:
         """Fires the one alarm last asked for, at its time."""
-        alarm = next(c for c in reversed(self.take()) if isinstance(c, Alarm))
+        alarm = next(c for c in reversed(self.take()) if isinstance(c, Alarm) and c.span != control.HEARTBEAT)
         self.ahead(alarm.span)
         self.driver.alarm(alarm.ref)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -224,6 +224,18 @@
     assert gaps[0] < gaps[-1] <= control.SHUN_CAP + 3 * SECOND
 
 
+@pytest.mark.parametrize("stall", [900 * MS, 5 * SECOND])
+def test_stall_of_our_own_is_not_held_against_servers(stall: int) -> None:
+    rig = Rig()
+    id_ = rig.dialog(0, no_answer=9 * SECOND)
+    rig.take()
+    rig.driver.tick(rig.now + stall)
+    rig.dialog(0, no_answer=9 * SECOND)
+    rig.result(id_, "s0", Outcome.STANDS)
+    assert rig.said() == "s0"
+    assert rig.control._fars["s0"].delay <= control.HEARTBEAT
+
+
 @pytest.mark.parametrize(("delay", "grows"), [(50 * MS, True), (1400 * MS, False)])
 def test_window_follows_own_delays(delay: int, grows: bool) -> None:
     rig = Rig(servers=1)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from valverouter.control import HEARTBEAT
 from valverouter.wirehost.__main__ import Host
 from valverouter.wirehost.codec import MalformedInputError
 
@@ -35,8 +36,8 @@
 
 
 def steps(host: Host, *messages: Any) -> list[Any]:
-    answer: list[Any] = json.loads(host.reply(line(list(messages))))["steps"]
-    return answer
+    said = json.loads(host.reply(line(list(messages))))["steps"]
+    return [s for s in said if s.get("setAlarm", {}).get("spanUs") != HEARTBEAT // 1_000]
 
 
 SENT = {"forward": {"proxyId": "p/0", "msgId": "id-1", "server": "s.a", "untilUs": 3_000_000}}
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -75,6 +75,9 @@
 RATE_SPAN = 10 * SECOND
 COLD_TRICKLE = 2 * SECOND
 
+# How often we look at our own clock; beats missed are a stall of ours, not a silence of the servers.
+HEARTBEAT = 100 * MS
+
 COME_BACK = SECOND // 8
 
 
@@ -197,6 +200,15 @@
 
     # News
 
+    def tick(self, now: int) -> None:
+        """Sets the clock, and takes a stall of our own out of every age: it says nothing of the servers."""
+        stalled = now - self.now - HEARTBEAT
+        if stalled > HEARTBEAT:
+            for far in self._fars.values():
+                far.out = {leg: sent_at + stalled for leg, sent_at in far.out.items()}
+                far.heard_at += stalled
+        self.now = now
+
     def server_list(self, scope: ListScope, entries: Sequence[ServerEntry]) -> None:
         if scope is ListScope.FAILED:
             return
@@ -382,14 +394,14 @@
 
     # Small things
 
-    def upkeep(self) -> Course | None:
-        return None if self.terms.list_is_pushed else self._subscription()
-
-    def _subscription(self) -> Course:
+    def upkeep(self) -> Course:
+        """Gets the list where it must be asked for, then beats so that a stall of our own shows."""
         tries = 0
-        while (yield Subscribe()) is ListScope.FAILED:
+        while not self.terms.list_is_pushed and (yield Subscribe()) is ListScope.FAILED:
             tries += 1
             yield Pause(retry_wait(tries, self._draw(), RETRY_BASE))
+        while True:
+            yield Pause(HEARTBEAT)
 
     def _lines_busy(self, number: int) -> bool:
         for passed in [n for n, until in self._busy_numbers.items() if until <= self.now]:
--- a/valverouter/driver.py
+++ b/valverouter/driver.py
@@ -56,16 +56,14 @@
         self._running: dict[str, _Running] = {}
         self._alarms: dict[int, str] = {}
         self._refs = 0
-        upkeep = self.control.upkeep()
-        if upkeep is not None:
-            self._start(UPKEEP, upkeep)
+        self._start(UPKEEP, self.control.upkeep())
 
     @property
     def open_dialogs(self) -> int:
         return len(self._running) - (UPKEEP in self._running)
 
     def tick(self, now: int) -> None:
-        self.control.now = now
+        self.control.tick(now)
 
     def drain(self) -> list[Command]:
         commands, self.commands = self.commands, []
