Cancel legs that a later stand has overtaken, and try them again

One lost leg made the server look silent for 3 s. Told from a silent server: later legs stand; from a queue: a queue overtakes none. Covers lost messages and accept-but-forget of any cause; harms where a server answers out of turn by more than 100 ms.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -10,6 +10,7 @@
 from valverouter.interface import (
     Abort,
     Alarm,
+    CancelLeg,
     Command,
     Decline,
     Deployment,
@@ -35,6 +36,7 @@
     own_number=-1,
     list_is_pushed=True,
     legs_allowed=6,
+    may_cancel=True,
     come_back_limit=2 * SECOND,
     release_wait=300 * MS,
     repeat_after=0,
@@ -85,6 +87,8 @@
                     continue
                 case Order(wish=Decline()):
                     words.append("declined")
+                case Order(wish=CancelLeg()):
+                    words.append("cancels")
                 case Order(wish=Abort()):
                     words.append("aborted")
                 case Order(wish=wish):
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -75,6 +75,9 @@
 RATE_SPAN = 10 * SECOND
 COLD_TRICKLE = 2 * SECOND
 
+# A leg sent so much before one that stands is taken for lost; above what the network reorders.
+OVERTAKEN_BY = 100 * MS
+
 # How often we look at our own clock; beats missed are a stall of ours, not a silence of the servers.
 HEARTBEAT = 100 * MS
 
@@ -133,6 +136,7 @@
         self.no_agent_until = 0
         self.told_wait: int | None = None
         self.lines = 1.0
+        self.answered_sent_at = 0
         self.delay = 0
         self.heard_at = now
         # Unanswered legs by (dialog, leg) with their time of sending; emptied by their results.
@@ -144,15 +148,17 @@
         self.cold_credit = 0.0
         self.cold_filled_at = now
 
-    def oldest_out(self, now: int) -> int:
-        return now - next(iter(self.out.values())) if self.out else 0
+    def waiting(self) -> list[int]:
+        # A leg overtaken by the answer to a later one is lost, not queued: it says nothing of the wait.
+        return [sent_at for sent_at in self.out.values() if sent_at > self.answered_sent_at - OVERTAKEN_BY]
 
     def wait(self, now: int) -> int:
         # An unanswered leg's age is a lower bound of the wait: it shows a silent, hung or cut-off
         # server, or a queue that grows, before any answer or time-out can.
         fading = max(0.0, 1 - (now - self.heard_at) / NEWS_FADES)
         known = self.told_wait if self.told_wait is not None else self.delay
-        return max(int(known * fading), self.oldest_out(now))
+        waiting = self.waiting()
+        return max(int(known * fading), now - waiting[0] if waiting else 0)
 
     def heard(self, delay: int, now: int) -> None:
         self.delay = int(self.delay + NEW_DELAY_WEIGHT * (delay - self.delay)) if self.delay else delay
@@ -169,8 +175,8 @@
     def open(self, now: int) -> bool:
         # Under one leg, the window is a pace: many edge proxies with a leg each drown a small server.
         if self.window >= 1:
-            return len(self.out) < self.window
-        return not self.out and now - self.heard_at >= self.delay * (1 / self.window - 1)
+            return len(self.waiting()) < self.window
+        return not self.waiting() and now - self.heard_at >= self.delay * (1 / self.window - 1)
 
     def sound(self, now: int) -> bool:
         # A server whose last news was a failure gets one leg at a time, after a growing pause: it is
@@ -207,6 +213,7 @@
             for far in self._fars.values():
                 far.out = {leg: sent_at + stalled for leg, sent_at in far.out.items()}
                 far.heard_at += stalled
+                far.answered_sent_at += stalled
         self.now = now
 
     def server_list(self, scope: ListScope, entries: Sequence[ServerEntry]) -> None:
@@ -236,35 +243,51 @@
         if report.wait is not None:
             far.told_wait = report.wait
 
-    def learn(self, result: LegResult) -> None:
-        """Every result teaches about its server, also when the dialog has long ended."""
+    def learn(self, result: LegResult) -> list[tuple[str, int]]:
+        """Every result teaches about its server, also of dialogs long ended; names legs to cancel."""
         far = self._fars.get(result.server)
         if far is None:
-            return
+            return []
         if result.report is not None:
             self.report(result.server, result.report)
         sent_at = far.out.pop((result.dialog_id, result.leg), None)
         if sent_at is None or result.outcome in (Outcome.NOT_SENT, Outcome.CANCELLED):
-            return
+            return []
         if result.outcome is Outcome.NO_AGENT:
             # Said of the lines, not of the processor: it is neither slow nor ailing.
             far.no_agent_until = self.now + NO_AGENT_HOLDS
-            return
+            return []
         answered = (Outcome.STANDS, Outcome.ENDED, Outcome.LINE_BUSY, Outcome.FAULT)
         if result.outcome in answered:
             far.failures = 0
             far.heard(self.now - sent_at, self.now)
             far.adapt(self.now - sent_at <= self._prompt, sent_at, self.now)
-            if result.outcome is Outcome.STANDS and self._cold_share(far) >= 1:
+            if result.outcome is not Outcome.STANDS:
+                return []
+            if self._cold_share(far) >= 1:
                 warm = (f for f in self._fars.values() if f.entry.in_service and self._cold_share(f) >= 1)
                 self._stood_now += 1 / max(far.lines, sum(f.lines for f in warm))
-            return
+            far.answered_sent_at = max(far.answered_sent_at, sent_at)
+            return self._overtaken(far, sent_at)
+        if result.outcome is Outcome.TIMED_OUT and sent_at <= far.answered_sent_at:
+            return []
         far.failures += 1
         far.adapt(False, sent_at, self.now)
         far.heard(max(self.now - sent_at, result.asked_wait, far.delay), self.now)
         far.shunned_until = self.now + max(
             result.asked_wait, min(SHUN_CAP, SHUN_BASE << min(far.failures - 1, 16))
         )
+        return []
+
+    def _overtaken(self, far: Far, sent_at: int) -> list[tuple[str, int]]:
+        # A server takes set-ups in turn, so a leg sent well before one that stands now is lost, however prompt
+        # the server: its dialog had better try again than wait out its time. A queue overtakes none.
+        if not self.terms.may_cancel:
+            return []
+        lost = [leg for leg, at in far.out.items() if at < sent_at - OVERTAKEN_BY]
+        for leg in lost:
+            del far.out[leg]
+        return lost
 
     # A dialog
 
--- a/valverouter/driver.py
+++ b/valverouter/driver.py
@@ -14,6 +14,7 @@
     Abort,
     Alarm,
     Answer,
+    CancelLeg,
     Command,
     Course,
     Decline,
@@ -82,7 +83,9 @@
         self.control.report(server, report)
 
     def leg_result(self, result: LegResult) -> None:
-        self.control.learn(result)
+        for dialog_id, leg in self.control.learn(result):
+            if (other := self._running.get(dialog_id)) is not None and other.out == leg:
+                self.commands.append(Order(dialog_id, CancelLeg(leg)))
         running = self._running.get(result.dialog_id)
         if running is None:
             return
--- a/valverouter/interface.py
+++ b/valverouter/interface.py
@@ -55,6 +55,7 @@
     own_number: int
     list_is_pushed: bool
     legs_allowed: int
+    may_cancel: bool
     come_back_limit: int
     release_wait: int
     repeat_after: int
@@ -139,6 +140,13 @@
     """Final answer: given up."""
 
 
+@dataclass(frozen=True, slots=True)
+class CancelLeg:
+    """Stop waiting for a leg of the dialog; its result still comes."""
+
+    leg: int
+
+
 @dataclass(frozen=True, slots=True)
 class Subscribe:
     """Ask for the server list and its changes; resumed with the ListScope of the answer."""
@@ -162,7 +170,7 @@
     """A wish made out to the dialog it is for, ready for the stack."""
 
     dialog_id: str
-    wish: Leg | Decline | Abort
+    wish: Leg | CancelLeg | Decline | Abort
 
 
 Command = Order | Alarm | Subscribe
--- a/valverouter/wirehost/codec.py
+++ b/valverouter/wirehost/codec.py
@@ -11,6 +11,7 @@
 from valverouter.interface import (
     Abort,
     Alarm,
+    CancelLeg,
     Command,
     Decline,
     Deployment,
@@ -84,6 +85,7 @@
     sendCap: int
     maxRetryAfterUs: int = 0
     retryAfter: bool = False
+    mayCancel: bool = False
 
 
 class LoadFields(Struct):
@@ -260,6 +262,7 @@
         own_number=extra.here,
         list_is_pushed=options.discovery == "pushed",
         legs_allowed=limits.sendCap,
+        may_cancel=limits.mayCancel,
         come_back_limit=limits.maxRetryAfterUs * US if limits.retryAfter else 0,
         release_wait=extra.releaseGuardUs * US,
         repeat_after=extra.repeatUs * US,
@@ -337,6 +340,8 @@
             return {"forward": body}
         case Order(dialog_id=id_, wish=Decline(come_back=come_back)):
             return {"notNow": {"proxyId": proxy, "msgId": id_, "coolDownUs": come_back // US}}
+        case Order(dialog_id=id_, wish=CancelLeg(leg=leg)):
+            return {"dropAttempt": {"proxyId": proxy, "msgId": id_, "n": leg}}
         case Order(dialog_id=id_, wish=Abort()):
             return {"surrender": {"proxyId": proxy, "msgId": id_}}
         case Alarm(span=span, ref=ref):
