--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -224,6 +224,28 @@
     assert gaps[0] < gaps[-1] <= control.SHUN_CAP + 3 * SECOND
 
 
+@pytest.mark.parametrize(
+    ("gap", "outcome", "said"),
+    [
+        (400 * MS, Outcome.STANDS, "cancels"),
+        (50 * MS, Outcome.STANDS, ""),
+        (400 * MS, Outcome.LINE_BUSY, "aborted"),
+    ],
+)
+def test_leg_overtaken_by_one_that_stands_is_cancelled(gap: int, outcome: Outcome, said: str) -> None:
+    rig = Rig(servers=1)
+    lost = rig.dialog(0)
+    rig.ahead(gap)
+    later = rig.dialog(0)
+    rig.take()
+    rig.result(later, "s0", outcome)
+    assert rig.said() == said
+    if said == "cancels":
+        rig.result(lost, "s0", Outcome.CANCELLED)
+        assert rig.control._fars["s0"].failures == 0
+        assert rig.said() == "waits"
+
+
 @pytest.mark.parametrize("stall", [900 * MS, 5 * SECOND])
 def test_stall_of_our_own_is_not_held_against_servers(stall: int) -> None:
     rig = Rig()
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -280,8 +280,8 @@
         return []
 
     def _overtaken(self, far: Far, sent_at: int) -> list[tuple[str, int]]:
-        # A server takes set-ups in turn, so a leg sent well before one that stands now is lost, however prompt
-        # the server: its dialog had better try again than wait out its time. A queue overtakes none.
+        # A server takes set-ups in turn, so a leg sent well before one that stands now is lost, however
+        # prompt the server: its dialog had better try again than wait out its time. A queue overtakes none.
         if not self.terms.may_cancel:
             return []
         lost = [leg for leg, at in far.out.items() if at < sent_at - OVERTAKEN_BY]
