Keep a full server's asked wait to the dialog it told

Told from real overload: own delays prompt. Covers any false or stale word of a server against our own delays; the source's floor for that dialog's retry stays.

--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -271,12 +271,12 @@
             return self._overtaken(far, sent_at)
         if result.outcome is Outcome.TIMED_OUT and sent_at <= far.answered_sent_at:
             return []
+        # A wait that a full server asks for binds the dialog it told, as the source has it; for others our
+        # own delays decide, since such a wait has been seen to contradict them.
         far.failures += 1
         far.adapt(False, sent_at, self.now)
-        far.heard(max(self.now - sent_at, result.asked_wait, far.delay), self.now)
-        far.shunned_until = self.now + max(
-            result.asked_wait, min(SHUN_CAP, SHUN_BASE << min(far.failures - 1, 16))
-        )
+        far.heard(max(self.now - sent_at, far.delay), self.now)
+        far.shunned_until = self.now + min(SHUN_CAP, SHUN_BASE << min(far.failures - 1, 16))
         return []
 
     def _overtaken(self, far: Far, sent_at: int) -> list[tuple[str, int]]:
