--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -68,10 +68,10 @@
 NO_AGENT_HOLDS = 1 * SECOND
 
 # How long a number whose lines were all busy is taken to stay so.
-BUSY_NUMBER = 2 * SECOND
+BUSY_NUMBER = 5 * SECOND
 
 # How much of our share of a cold server's tipping load we use.
-COLD_MARGIN = 0.75
+COLD_MARGIN = 0.95
 RATE_SPAN = 10 * SECOND
 COLD_TRICKLE = 2 * SECOND
 
