--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -191,6 +191,23 @@
     assert sent or age == 0
 
 
+@pytest.mark.parametrize("seconds", [4, 35])
+def test_cold_credit_follows_what_warm_lines_stood(seconds: int) -> None:
+    rig = Rig(servers=2, edge_proxies=1)
+    rig.control.report("s0", Report(free_lines=9, lines=100))
+    rig.control.report("s1", Report(free_lines=9, lines=100))
+    for _ in range(seconds * 10):
+        rig.ahead(100 * MS)
+        rig.result(rig.dialog(0), "s0", Outcome.STANDS)
+    rig.listed([ServerEntry("s1", 1, True, rig.now)])
+    rig.control.report("s1", Report(free_lines=9, lines=100))
+    assert rig.control._cold_credit(rig.control._fars["s1"]) is False
+    rig.ahead(400 * MS)
+    # 10 a second over 200 lines is 5 for 100, times 0.35 at first, times 2.5 x 0.95.
+    assert rig.control._cold_credit(rig.control._fars["s1"])
+    assert 0.9 < rig.control._rate_per_line() * 100 * SECOND / 5 < 1.1
+
+
 def test_restart_under_the_same_id_starts_full() -> None:
     rig = Rig(servers=1)
     for _ in range(2):
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -73,6 +73,7 @@
 # How much of our share of a cold server's tipping load we use.
 COLD_MARGIN = 0.95
 RATE_SPAN = 10 * SECOND
+RATE_KEEPS = 0.8
 COLD_TRICKLE = 2 * SECOND
 
 # A leg sent so much before one that stands is taken for lost; above what the network reorders.
@@ -227,6 +228,7 @@
             if known is None or (entry.in_service and entry.started_at != known.entry.started_at):
                 # A fresh start owes nothing to the process before it, its legs included.
                 self._fars[entry.id] = Far(entry, self.now)
+                self._fars[entry.id].lines = known.lines if known else 1.0
             else:
                 known.entry = entry
         for id_ in [id_ for id_, far in self._fars.items() if not far.entry.in_service and not far.out]:
@@ -266,6 +268,7 @@
                 return []
             if self._cold_share(far) >= 1:
                 warm = (f for f in self._fars.values() if f.entry.in_service and self._cold_share(f) >= 1)
+                self._turn_span()
                 self._stood_now += 1 / max(far.lines, sum(f.lines for f in warm))
             far.answered_sent_at = max(far.answered_sent_at, sent_at)
             return self._overtaken(far, sent_at)
@@ -397,19 +400,26 @@
             return True
         # What this edge proxy stood at warm servers is its share of what such a server can do, since
         # stood dialogs, unlike offered ones, never exceed capacity; with no history only a trickle goes.
-        while self.now - self._span_started >= RATE_SPAN:
-            self._span_started += RATE_SPAN
-            self._stood_before, self._stood_now = self._stood_now, 0.0
-        # Servers differ many times over in size, and their lines are planned for what they can set up.
-        per_span = max(self._stood_before, self._stood_now) * far.lines
+        rate = self._rate_per_line() * far.lines
         per_ns = max(
-            per_span / RATE_SPAN * share * COLD_MARGIN * self.terms.tip_multiple,
-            1 / (COLD_TRICKLE * self.terms.edge_proxies),
+            rate * share * COLD_MARGIN * self.terms.tip_multiple, 1 / (COLD_TRICKLE * self.terms.edge_proxies)
         )
         far.cold_credit = min(1.0, far.cold_credit + per_ns * (self.now - far.cold_filled_at))
         far.cold_filled_at = self.now
         return far.cold_credit >= 1
 
+    def _rate_per_line(self) -> float:
+        self._turn_span()
+        elapsed = max(self.now - self._span_started, RATE_SPAN // 4)
+        return max(self._stood_before / RATE_SPAN, self._stood_now / elapsed)
+
+    def _turn_span(self) -> None:
+        while self.now - self._span_started >= RATE_SPAN:
+            self._span_started += RATE_SPAN
+            # What a line can do outlives a time in which few servers were warm enough to show it.
+            self._stood_before = max(self._stood_now, self._stood_before * RATE_KEEPS)
+            self._stood_now = 0.0
+
     def _sent_to(self, far: Far) -> Far:
         if self._cold_share(far) < 1:
             far.cold_credit -= 1
