--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -55,8 +55,9 @@
 WAIT_SHARE_SPAN = 0.2
 IMPORTANT_WAIT_SHARE = 0.6
 
-# Unanswered legs that a server may hold of ours: the count at first and at most, what a prompt answer adds,
-# what remains after a late one or a failure, and which share of the least objective counts as prompt.
+# Unanswered legs that a server may hold of ours: the count at first, at most and at least, what a prompt
+# answer adds, what remains after a late one or a failure, and which share of the least objective counts as
+# prompt. Under one it still lets a single leg through; it only takes longer to widen again.
 WINDOW_FIRST = 4.0
 WINDOW_MOST = 8.0
 WINDOW_LEAST = 0.2
@@ -70,7 +71,8 @@
 # How long a number whose lines were all busy is taken to stay so.
 BUSY_NUMBER = 5 * SECOND
 
-# How much of our share of a cold server's tipping load we use.
+# How much of our share of a cold server's tipping load we use; over what span own stands are counted to
+# judge its capacity, how much of the best past span is kept; and the fleet's trickle before any history.
 COLD_MARGIN = 0.95
 RATE_SPAN = 10 * SECOND
 RATE_KEEPS = 0.8
@@ -136,6 +138,7 @@
         self.budget = RetryBudget()
         self.no_agent_until = 0
         self.told_wait: int | None = None
+        # Its size against other servers, for what a cold one may be sent.
         self.lines = 1.0
         self.answered_sent_at = 0
         self.delay = 0
@@ -173,12 +176,6 @@
             self.window = max(WINDOW_LEAST, self.window * WINDOW_KEEPS)
             self.cut_at = now
 
-    def open(self, now: int) -> bool:
-        # Under one leg, the window is a pace: many edge proxies with a leg each drown a small server.
-        if self.window >= 1:
-            return len(self.waiting()) < self.window
-        return not self.waiting() and now - self.heard_at >= self.delay * (1 / self.window - 1)
-
     def sound(self, now: int) -> bool:
         # A server whose last news was a failure gets one leg at a time, after a growing pause: it is
         # neither shut out for good nor flooded when it returns.
@@ -357,6 +354,7 @@
         others = [far for far in allowed if far is not first and self._takes(far, limit)]
         fresh = [far for far in others if far.entry.id not in tried] or others
         if first is not None and not fresh and self._takes(first, limit):
+            # Tried by this dialog before, but the only one left.
             fresh = [first]
         if not fresh:
             return None
@@ -393,6 +391,7 @@
         share = self._cold_share(far)
         if share >= 1:
             return True
+        # Servers differ many times over in size, and their lines are planned for what they can set up.
         # What this edge proxy stood at warm servers is its share of what such a server can do, since
         # stood dialogs, unlike offered ones, never exceed capacity; with no history only a trickle goes.
         rate = self._rate_per_line() * far.lines
