--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,5 +1,4 @@
 """The decisions: budget, order of reasons, waits, choice of server, the five rules, each failure found."""
-# Tables read better with several cases on a line.
 # fmt: off
 
 
@@ -154,7 +153,6 @@
         rig.ahead(100 * MS)
         rig.result(rig.dialog(0), "s0", Outcome.STANDS)
     rig.listed([ServerEntry("s1", 1, True, rig.now)])
-    rig.control.report("s1", Report(free_lines=9, lines=100))
     assert rig.control._cold_credit(rig.control._fars["s1"]) is False
     rig.ahead(400 * MS)
     # 10 a second over 200 lines is 5 for 100, times 0.35 at first, times 2.5 x 0.95.
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,5 +1,4 @@
 """The adapter: a round trip on the wire, and plain words on what is malformed."""
-# Tables read better with several cases on a line.
 # fmt: off
 
 
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -264,9 +264,10 @@
             if result.outcome is not Outcome.STANDS:
                 return []
             if self._cold_share(far) >= 1:
-                warm = (f for f in self._fars.values() if f.entry.in_service and self._cold_share(f) >= 1)
                 self._turn_span()
-                self._stood_now += 1 / max(far.lines, sum(f.lines for f in warm))
+                # A draining server still counts while its last legs stand, or the rate would look too high.
+                warm = (f for f in self._fars.values() if f.entry.in_service or f is far)
+                self._stood_now += 1 / sum(f.lines for f in warm if self._cold_share(f) >= 1)
             far.answered_sent_at = max(far.answered_sent_at, sent_at)
             return self._overtaken(far, sent_at)
         if result.outcome is Outcome.TIMED_OUT and sent_at <= far.answered_sent_at:
