--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -8,8 +8,7 @@
 from valverouter import control, interface
 from valverouter.driver import Driver
 
-MS = 1_000_000
-SECOND = 1_000 * MS
+MS, SECOND = 1_000_000, 1_000_000_000
 TYPE = interface.TrafficType(1500 * MS, 1.0, True, None)
 TYPES = {
     "plain": TYPE,
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -66,9 +66,10 @@
         (Outcome.RESET, {}, "waits"), (Outcome.UNREACHABLE, {}, "waits"), (Outcome.NO_AGENT, {}, "s1"),
         (Outcome.STANDS, {}, ""), (Outcome.TIMED_OUT, {"kind": "once"}, "aborted"),
         (Outcome.FULL, {"kind": "once"}, "waits"),
+        (Outcome.FULL, {"terms": {"legs_allowed": 1}}, "declined"),
 ])
 def test_what_follows_a_leg(outcome: Outcome, more: dict[str, Any], said: str) -> None:
-    rig = Rig(servers=2)
+    rig = Rig(servers=2, **more.pop("terms", {}))
     id_ = rig.dialog(0, more.pop("kind", "plain"))
     rig.take()
     rig.result(id_, "s0", outcome, **more)
@@ -193,12 +194,12 @@
     assert gaps[0] < gaps[-1] <= control.SHUN_CAP + 3 * SECOND
 
 
-@pytest.mark.parametrize(("gap", "outcome", "said"), [
-        (300 * MS, Outcome.STANDS, "cancels"), (50 * MS, Outcome.STANDS, ""),
-        (300 * MS, Outcome.LINE_BUSY, "aborted"),
+@pytest.mark.parametrize(("gap", "outcome", "may", "said"), [
+        (300 * MS, Outcome.STANDS, True, "cancels"), (300 * MS, Outcome.STANDS, False, ""),
+        (50 * MS, Outcome.STANDS, True, ""), (300 * MS, Outcome.LINE_BUSY, True, "aborted"),
 ])
-def test_leg_overtaken_by_one_that_stands_is_cancelled(gap: int, outcome: Outcome, said: str) -> None:
-    rig = Rig(servers=1)
+def test_leg_overtaken_by_a_stand(gap: int, outcome: Outcome, may: bool, said: str) -> None:
+    rig = Rig(servers=1, may_cancel=may)
     lost = rig.dialog(0)
     rig.ahead(gap)
     later = rig.dialog(0, called_number=9)
