Restore the lost in-transit case; share one doubling, take out dead code

The case of a dialog in transit was lost when its test was folded into the table of first choices; it is back in the table. Retry waits and pauses after failures shared a formula written twice: now one function.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -52,7 +52,7 @@
         ({}, "plain", 2, "s2"), ({"servers": 0}, "plain", 0, "declined"),
         ({"servers": 1}, "plain", 5, "s0"), ({"servers": 1}, "only-1", 0, "declined"),
         ({"servers": 2}, "only-1", 0, "s1"), ({"servers": 2, "own_number": 0}, "plain", 0, "s1"),
-        ({}, "unknown", 0, "declined"),
+        ({}, "unknown", 0, "declined"), ({"servers": 2}, "transit", 9, "declined"),
 ])
 def test_first_choice(terms: dict[str, int], kind: str, first: int, said: str) -> None:
     rig = Rig(**terms)
@@ -125,15 +125,10 @@
     assert rig.said() == "s1 s1"
 
 
-def cold_rig(age: int, proxies: int = 4) -> Rig:
-    rig = Rig(servers=1, edge_proxies=proxies)
-    rig.listed([ServerEntry("s0", 0, True, rig.now - age)])
-    return rig
-
-
 @pytest.mark.parametrize(("age", "most"), [(0, 2), (20 * SECOND, 1000)])
 def test_cold_server_gets_a_share_also_with_no_history(age: int, most: int) -> None:
-    rig = cold_rig(age)
+    rig = Rig(servers=1)
+    rig.listed([ServerEntry("s0", 0, True, rig.now - age)])
     sent = 0
     for _ in range(40):
         rig.ahead(100 * MS)
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -125,9 +125,13 @@
     return Verdict.AGAIN
 
 
+def doubled(base: int, times: int, cap: int) -> int:
+    return min(cap, base << min(times, 16))
+
+
 def retry_wait(retry: int, draw: float, least: int) -> int:
     """The paper's Exponential, full jitter; a wait that the server asked for is its least."""
-    return max(least, int(draw * min(RETRY_CAP, RETRY_BASE << min(retry - 1, 16))))
+    return max(least, int(draw * doubled(RETRY_BASE, retry - 1, RETRY_CAP)))
 
 
 class Far:
@@ -152,17 +156,15 @@
         self.cold_credit = 0.0
         self.cold_filled_at = now
 
-    def waiting(self) -> list[int]:
-        # A leg overtaken by the answer to a later one is lost, not queued: it says nothing of the wait.
-        return [sent_at for sent_at in self.out.values() if sent_at > self.answered_sent_at - OVERTAKEN_BY]
-
     def wait(self, now: int) -> int:
-        # An unanswered leg's age is a lower bound of the wait: it shows a silent, hung or cut-off
-        # server, or a queue that grows, before any answer or time-out can.
+        # An unanswered leg's age is a lower bound of the wait: it shows a silent, hung or cut-off server, or
+        # a queue that grows, before any answer or time-out can. A leg overtaken by the answer to a later one
+        # is lost, not queued: it says nothing of the wait.
         fading = max(0.0, 1 - (now - self.heard_at) / NEWS_FADES)
         known = self.told_wait if self.told_wait is not None else self.delay
-        waiting = self.waiting()
-        return max(int(known * fading), now - waiting[0] if waiting else 0)
+        queued_since = self.answered_sent_at - OVERTAKEN_BY
+        oldest = next((sent_at for sent_at in self.out.values() if sent_at > queued_since), now)
+        return max(int(known * fading), now - oldest)
 
     def heard(self, delay: int, now: int) -> None:
         self.delay = int(self.delay + NEW_DELAY_WEIGHT * (delay - self.delay)) if self.delay else delay
@@ -277,7 +279,7 @@
         far.failures += 1
         far.adapt(False, sent_at, self.now)
         far.heard(max(self.now - sent_at, far.delay), self.now)
-        far.shunned_until = self.now + min(SHUN_CAP, SHUN_BASE << min(far.failures - 1, 16))
+        far.shunned_until = self.now + doubled(SHUN_BASE, far.failures - 1, SHUN_CAP)
         return []
 
     def _overtaken(self, far: Far, sent_at: int) -> list[tuple[str, int]]:
@@ -322,7 +324,7 @@
             if outcome is Outcome.NO_AGENT and legs < self.terms.legs_allowed:
                 # The news was older than the lines: the server rule goes on at once, nothing has failed.
                 continue
-            proven_unrun = outcome in (Outcome.FULL, Outcome.NO_AGENT, Outcome.UNREACHABLE, Outcome.NOT_SENT)
+            proven_unrun = outcome in (Outcome.FULL, Outcome.NO_AGENT, Outcome.UNREACHABLE)
             if outcome is Outcome.NOT_SENT or self.now >= dialog.no_answer_at:
                 # The caller's time is over, or nothing was sent: neither says anything of the server.
                 yield Abort()
--- a/valverouter/driver.py
+++ b/valverouter/driver.py
@@ -61,7 +61,7 @@
 
     @property
     def open_dialogs(self) -> int:
-        return len(self._running) - (UPKEEP in self._running)
+        return len(self._running) - 1
 
     def tick(self, now: int) -> None:
         self.control.tick(now)
@@ -75,8 +75,8 @@
 
     def server_list(self, scope: ListScope, entries: Sequence[ServerEntry]) -> None:
         self.control.server_list(scope, entries)
-        upkeep = self._running.get(UPKEEP)
-        if upkeep is not None and upkeep.ref is None and scope is not ListScope.CACHED:
+        upkeep = self._running[UPKEEP]
+        if upkeep.ref is None and scope is not ListScope.CACHED:
             self._resume(UPKEEP, upkeep, scope)
 
     def report(self, server: str, report: Report) -> None:
@@ -122,7 +122,7 @@
             wish = running.course.send(answer)
         except StopIteration:
             stands = isinstance(answer, LegResult) and answer.outcome is Outcome.STANDS
-            if not stands and key != UPKEEP:
+            if not stands:
                 raise BrokenCourseError(f"dialog {key} was left without an answer") from None
             del self._running[key]
             return
