Cold servers: turns spread over the edge proxies that lapse, judged by busy lines

Cause: each edge proxy's credit at a cold server saved up one leg, which 200 of them could spend in the same second, and its rate was taken from lines though servers differ sevenfold in what they set up for each line. Change: a number's busy lines over the length of a dialog tell what its server carried before its restart, from news alone; each edge proxy has turns spread by its place, and a turn unused lapses, so that the turns open in any window stay under the tip whatever the demand.

--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -71,11 +71,10 @@
 # How long a number whose lines were all busy is taken to stay so.
 BUSY_NUMBER = 5 * SECOND
 
-# How much of our share of a cold server's tipping load we use; over what span own stands are counted to
-# judge its capacity, how much of the best past span is kept; and the fleet's trickle before any history.
-COLD_MARGIN = 0.95
-RATE_SPAN = 10 * SECOND
-RATE_KEEPS = 0.8
+# What all edge proxies together offer a cold server, as a share of what it can do at that moment; how much
+# of the most that a server was seen to carry is kept each second; and the fleet's trickle before any news.
+COLD_LOAD = 1.0
+CARRIED_KEEPS = 0.98
 COLD_TRICKLE = 2 * SECOND
 
 # A leg sent so much before one that stands is taken for lost; above what the network reorders.
@@ -142,8 +141,7 @@
         self.budget = RetryBudget()
         self.no_agent_until = 0
         self.told_wait: int | None = None
-        # Its size against other servers, for what a cold one may be sent.
-        self.lines = 1.0
+        self.lines = 0.0
         self.answered_sent_at = 0
         self.delay = 0
         self.heard_at = now
@@ -153,8 +151,10 @@
         self.cut_at = now
         self.failures = 0
         self.shunned_until = 0
-        self.cold_credit = 0.0
-        self.cold_filled_at = now
+        # Our turns at a cold server since its start, and the last one used.
+        self.turns = 0.0
+        self.turned_at = entry.started_at
+        self.turn_taken = 0
 
     def wait(self, now: int) -> int:
         # An unanswered leg's age is a lower bound of the wait: it shows a silent, hung or cut-off server, or
@@ -196,10 +196,12 @@
         self._fars: dict[str, Far] = {}
         # Called numbers whose lines were all busy, until when; emptied as they pass.
         self._busy_numbers: dict[int, int] = {}
-        # Dialogs stood for each line of the warm servers, in this span of time and the one before.
-        self._span_started = now
-        self._stood_now = 0.0
-        self._stood_before = 0.0
+        # The most lines that the server of a number was seen to hold busy while warm, and when; outlives a
+        # restart or a successor under that number. Emptied by the server list.
+        self._carried: dict[int, tuple[float, int]] = {}
+        self._length = sum(t.length for t in deployment.traffic_types.values()) / len(
+            deployment.traffic_types
+        )
         least = min(t.importance for t in deployment.traffic_types.values())
         self._prompt = int(PROMPT_SHARE * min(t.objective for t in deployment.traffic_types.values()))
         self._important = {n for n, t in deployment.traffic_types.items() if t.importance > least}
@@ -226,12 +228,15 @@
             known = self._fars.get(entry.id)
             if known is None or (entry.in_service and entry.started_at != known.entry.started_at):
                 # A fresh start owes nothing to the process before it, its legs included.
-                self._fars[entry.id] = Far(entry, self.now)
-                self._fars[entry.id].lines = known.lines if known else 1.0
+                self._fars[entry.id] = far = Far(entry, self.now)
+                far.turns = self.terms.place / self.terms.edge_proxies
             else:
                 known.entry = entry
         for id_ in [id_ for id_, far in self._fars.items() if not far.entry.in_service and not far.out]:
             del self._fars[id_]
+        if scope is not ListScope.CHANGES:
+            numbers = {far.entry.number for far in self._fars.values()}
+            self._carried = {n: carried for n, carried in self._carried.items() if n in numbers}
 
     def report(self, server: str, report: Report) -> None:
         far = self._fars.get(server)
@@ -239,8 +244,12 @@
             return
         if report.free_lines is not None:
             far.no_agent_until = self.now + NO_AGENT_HOLDS if report.free_lines < 1 else 0
-        if report.lines:
+        if report.lines and report.free_lines is not None:
             far.lines = report.lines
+            if self._cold_share(far) >= 1:
+                most, at = self._carried.get(far.entry.number, (0.0, self.now))
+                kept = most * CARRIED_KEEPS ** ((self.now - at) / SECOND)
+                self._carried[far.entry.number] = max(kept, report.lines - report.free_lines), self.now
         if report.wait is not None:
             far.told_wait = report.wait
 
@@ -265,11 +274,6 @@
             far.adapt(self.now - sent_at <= self._prompt, sent_at, self.now)
             if result.outcome is not Outcome.STANDS:
                 return []
-            if self._cold_share(far) >= 1:
-                self._turn_span()
-                # A draining server still counts while its last legs stand, or the rate would look too high.
-                warm = (f for f in self._fars.values() if f.entry.in_service or f is far)
-                self._stood_now += 1 / sum(f.lines for f in warm if self._cold_share(f) >= 1)
             far.answered_sent_at = max(far.answered_sent_at, sent_at)
             return self._overtaken(far, sent_at)
         if result.outcome is Outcome.TIMED_OUT and sent_at <= far.answered_sent_at:
@@ -372,7 +376,7 @@
             and len(far.out) < far.window
             and far.sound(self.now)
             and far.wait(self.now) <= limit
-            and self._cold_credit(far)
+            and self._cold_turn(far)
         )
 
     def _wait_limit(self, dialog: Dialog, kind: TrafficType) -> int:
@@ -389,37 +393,42 @@
             return 1.0
         return self.terms.cold_share + (1 - self.terms.cold_share) * max(0, self.now - started) / warm_after
 
-    def _cold_credit(self, far: Far) -> bool:
+    def _cold_turn(self, far: Far) -> bool:
         """Whether a cold server has room for one leg from this edge proxy."""
         share = self._cold_share(far)
         if share >= 1:
             return True
-        # Servers differ many times over in size, and their lines are planned for what they can set up.
-        # What this edge proxy stood at warm servers is its share of what such a server can do, since
-        # stood dialogs, unlike offered ones, never exceed capacity; with no history only a trickle goes.
-        rate = self._rate_per_line() * far.lines
-        per_ns = max(
-            rate * share * COLD_MARGIN * self.terms.tip_multiple, 1 / (COLD_TRICKLE * self.terms.edge_proxies)
-        )
-        far.cold_credit = min(1.0, far.cold_credit + per_ns * (self.now - far.cold_filled_at))
-        far.cold_filled_at = self.now
-        return far.cold_credit >= 1
-
-    def _rate_per_line(self) -> float:
-        self._turn_span()
-        elapsed = max(self.now - self._span_started, RATE_SPAN // 4)
-        return max(self._stood_before / RATE_SPAN, self._stood_now / elapsed)
-
-    def _turn_span(self) -> None:
-        while self.now - self._span_started >= RATE_SPAN:
-            self._span_started += RATE_SPAN
-            # What a line can do outlives a time in which few servers were warm enough to show it.
-            self._stood_before = max(self._stood_now, self._stood_before * RATE_KEEPS)
-            self._stood_now = 0.0
+        # Among many edge proxies the share of one is far under a leg in any window, and shares saved up
+        # would all be spent in the same second. So each has its turns, spread by its place among all, and a
+        # turn not used soon lapses: however sudden the demand, the turns open in one window keep within
+        # what tips the server.
+        load = min(COLD_LOAD, self.terms.tip_multiple / 2)
+        trickle = 1 / (COLD_TRICKLE * self.terms.edge_proxies)
+        rate = max(load * share * self._usual_rate(far), trickle)
+        far.turns += rate * (self.now - far.turned_at)
+        far.turned_at = self.now
+        lapses = self.terms.tip_span * (self.terms.tip_multiple / load - 1)
+        return int(far.turns) > far.turn_taken and far.turns % 1 <= rate * lapses
+
+    def _usual_rate(self, far: Far) -> float:
+        """Our even share of the set-ups that a server takes when warm, in legs a nanosecond."""
+        # Busy lines over the length of a dialog are the rate at which they are set up, for the whole fleet
+        # and from its very start; servers differ many times over in what they can do for each line.
+        known = self._carried.get(far.entry.number)
+        if known is not None:
+            busy = known[0]
+        else:
+            ratios = [
+                self._carried[f.entry.number][0] / f.lines
+                for f in self._fars.values()
+                if f.lines and f.entry.number in self._carried
+            ]
+            busy = far.lines * min(ratios, default=0.0)
+        senders = self.terms.edge_proxies if self.terms.own_number < 0 else 1
+        return busy / (self._length * senders) if self._length else 0.0
 
     def _sent_to(self, far: Far) -> Far:
-        if self._cold_share(far) < 1:
-            far.cold_credit -= 1
+        far.turn_taken = int(far.turns)
         return far
 
     # Small things
--- a/valverouter/interface.py
+++ b/valverouter/interface.py
@@ -41,6 +41,7 @@
 
     objective: int
     importance: float
+    length: int
     repeatable: bool
     server_numbers: frozenset[int] | None
 
@@ -51,6 +52,7 @@
 
     traffic_types: dict[str, TrafficType]
     edge_proxies: int
+    place: int
     own_number: int
     list_is_pushed: bool
     legs_allowed: int
@@ -59,6 +61,7 @@
     release_wait: int
     cold_share: float
     tip_multiple: float
+    tip_span: int
     warm_after: int
 
 
--- a/valverouter/wirehost/codec.py
+++ b/valverouter/wirehost/codec.py
@@ -70,6 +70,7 @@
 
 class Extra(Struct):
     classCells: list[list[int]] = []
+    callLengthUs: list[int] = []
     here: int = -1
     releaseGuardUs: int = 0
 
@@ -88,6 +89,7 @@
 class Rules(Struct):
     startCapacity: float = 1.0
     tipMultiple: float = 1.0
+    fallUs: int = 0
     warmWithinUs: int = 0
 
 
@@ -96,6 +98,7 @@
     nInstances: int
     discovery: str
     limits: Limits
+    me: int = 0
     extra: Extra = msgspec.field(default_factory=Extra)
     report: LoadFields = msgspec.field(default_factory=LoadFields)
     rules: Rules = msgspec.field(default_factory=Rules)
@@ -226,6 +229,8 @@
         ("limits.maxRetryAfterUs", limits.maxRetryAfterUs, 0),
         ("extra.releaseGuardUs", extra.releaseGuardUs, 0),
         ("rules.warmWithinUs", rules.warmWithinUs, 0),
+        ("rules.fallUs", rules.fallUs, 0),
+        ("me", options.me, 0),
         *((f"categories[{c.name}].objectiveUs", c.objectiveUs, 1) for c in options.categories),
     ):
         if value < least:
@@ -236,20 +241,23 @@
         raise MalformedInputError("powerOn: options.rules.tipMultiple must lie above 0")
     if options.discovery not in ("pushed", "on_request"):
         raise MalformedInputError(f"powerOn: options.discovery is {options.discovery!r}")
-    cells = extra.classCells
-    if cells and len(cells) != len(options.categories):
-        raise MalformedInputError("powerOn: options.extra.classCells does not match options.categories")
+    cells, lengths = extra.classCells, extra.callLengthUs
+    for name, values in (("classCells", cells), ("callLengthUs", lengths)):
+        if values and len(values) != len(options.categories):
+            raise MalformedInputError(f"powerOn: options.extra.{name} does not match options.categories")
     return Deployment(
         traffic_types={
             c.name: TrafficType(
                 objective=c.objectiveUs * US,
                 importance=c.importance,
+                length=lengths[at] * US if lengths else 0,
                 repeatable=c.semantics == "read_like",
                 server_numbers=frozenset(cells[at]) if cells else None,
             )
             for at, c in enumerate(options.categories)
         },
         edge_proxies=options.nInstances,
+        place=options.me,
         own_number=extra.here,
         list_is_pushed=options.discovery == "pushed",
         legs_allowed=limits.sendCap,
@@ -258,6 +266,7 @@
         release_wait=extra.releaseGuardUs * US,
         cold_share=rules.startCapacity,
         tip_multiple=rules.tipMultiple,
+        tip_span=rules.fallUs * US,
         warm_after=rules.warmWithinUs * US,
     )
 
