Cold turns lapse after our usual gap at a server, so that small fleets use them

The load aimed at is no longer a figure of its own: a turn lapses after the gap in which our even share of the server is one leg, at most the tipping window, and the load is what then keeps under 0.9 of the tip in any window.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -160,7 +160,7 @@
     for start in sent:
         now = 0.35 + 0.65 * (4 + start / 1000) / 15
         assert sum(start <= at < start + 1000 for at in sent) <= 2.5 * now * 30
-    assert len(sent) >= least * control.COLD_LOAD * 30 * 6 * 0.65 * (0.9 if proxies > 2 else 1)
+    assert len(sent) >= least * 30 * 6 * 0.65
 
 
 def test_restart_under_the_same_id_starts_full() -> None:
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -71,9 +71,9 @@
 # How long a number whose lines were all busy is taken to stay so.
 BUSY_NUMBER = 5 * SECOND
 
-# What all edge proxies together offer a cold server, as a share of what it can do at that moment; how much
-# of the most that a server was seen to carry is kept each second; and the fleet's trickle before any news.
-COLD_LOAD = 1.0
+# How much of what tips a cold server all edge proxies together may offer it; how much of the most that a
+# server was seen to carry is kept each second; and the fleet's trickle before any news.
+COLD_MARGIN = 0.9
 CARRIED_KEEPS = 0.98
 COLD_TRICKLE = 2 * SECOND
 
@@ -402,12 +402,13 @@
         # would all be spent in the same second. So each has its turns, spread by its place among all, and a
         # turn not used soon lapses: however sudden the demand, the turns open in one window keep within
         # what tips the server.
-        load = min(COLD_LOAD, self.terms.tip_multiple / 2)
+        window, usual = self.terms.tip_span, self._usual_rate(far)
+        lapses = min(window, 1 / usual) if usual else window
+        tips = usual * self.terms.tip_multiple * share * COLD_MARGIN
         trickle = 1 / (COLD_TRICKLE * self.terms.edge_proxies)
-        rate = max(load * share * self._usual_rate(far), trickle)
+        rate = max(tips * window / (window + lapses), trickle)
         far.turns += rate * (self.now - far.turned_at)
         far.turned_at = self.now
-        lapses = self.terms.tip_span * (self.terms.tip_multiple / load - 1)
         return int(far.turns) > far.turn_taken and far.turns % 1 <= rate * lapses
 
     def _usual_rate(self, far: Far) -> float:
