Second choices go only where busy lines leave room; bad news and pauses last for turns

Change: (1) news of a wait and the pauses after failures last for turns, the time in which our even share of a server is one leg. (2) a dialog's second choice is a server whose busy lines lie below the most it held while it answered promptly, plus two standard deviations, drawn in proportion to that room: queued set-ups hold lines, and the news of lines reaches all edge proxies each second. It also covers a server that slows while it is no first choice of ours; it harms where a server must take on more than ever before at once: the mark rises only with prompt answers.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -235,6 +235,50 @@
     assert (rig.control._fars["s0"].window > control.WINDOW_FIRST) is grows
 
 
+@pytest.mark.parametrize(("busy", "prompt", "said"), [
+        ([100, 100], False, "s1"), ([100, 119], False, "s1"), ([100, 121], False, "declined"),
+        ([100, 121], True, "s1"), ([], False, "s1"),
+])
+def test_second_choices_go_only_where_lines_leave_room(busy: list[int], prompt: bool, said: str) -> None:
+    rig = Rig(servers=2)
+    for lines in busy:
+        rig.control.report("s1", Report(free_lines=400 - lines, lines=400))
+    if prompt:
+        rig.result(rig.dialog(1), "s1", Outcome.STANDS)
+    rig.control.report("s0", Report(free_lines=0, lines=9))
+    rig.take()
+    rig.dialog(0)
+    assert rig.said() == said
+
+
+def test_second_choices_are_drawn_by_room() -> None:
+    rig = Rig(servers=4)
+    for name, lines in (("s0", 1), ("s1", 10), ("s2", 1000), ("s3", 10)):
+        rig.control.report(name, Report(free_lines=0 if name == "s0" else 999, lines=999 + lines))
+    sent = []
+    for _ in range(99):
+        id_ = rig.dialog(0)
+        sent.append(rig.said())
+        rig.result(id_, sent[-1], Outcome.NOT_SENT)
+    assert 70 < sent.count("s2") < 99
+
+
+@pytest.mark.parametrize(("proxies", "after", "said"), [
+        (4, 1400 * MS, "s1"), (4, 2100 * MS, "s0"), (400, 30 * SECOND, "s1"), (400, 200 * SECOND, "s0"),
+])
+@pytest.mark.parametrize("outcome", [Outcome.STANDS, Outcome.FULL])
+def test_bad_news_holds_for_turns(proxies: int, after: int, said: str, outcome: Outcome) -> None:
+    rig = Rig(servers=2, edge_proxies=proxies)
+    rig.control.report("s0", Report(free_lines=300, lines=400))
+    id_ = rig.dialog(0, no_answer=9 * SECOND)
+    rig.ahead(4 * SECOND)
+    rig.result(id_, "s0", outcome, asked_wait=9 * SECOND)
+    rig.take()
+    rig.ahead(after)
+    rig.dialog(0)
+    assert rig.said() == said
+
+
 def test_asked_wait_binds_its_dialog_but_not_the_server() -> None:
     rig = Rig(servers=1)
     rig.result(rig.dialog(0), "s0", Outcome.FULL, asked_wait=5 * SECOND)
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -42,13 +42,18 @@
 RETRY_CAP = 2 * SECOND
 LEGS = 3
 
-# Own set-up delays: the weight of a new one, and how long news of a wait takes to fade to nothing.
+# Own set-up delays: the weight of a new one, and how long news of a wait takes to fade to nothing. A turn is
+# the time in which our even share of a server comes to one leg. Among many edge proxies it is long, and what
+# was learnt must hold for some turns: forgotten sooner, all of them together keep a jammed server jammed.
 NEW_DELAY_WEIGHT = 0.4
 NEWS_FADES = 2 * SECOND
+NEWS_FADES_TURNS = 4
 
 # A server that last failed is left alone for so long, doubling with each failure in a row.
 SHUN_BASE = 500 * MS
+SHUN_BASE_TURNS = 0.5
 SHUN_CAP = 4 * SECOND
+SHUN_CAP_TURNS = 4
 
 # What a server's wait may be, in shares of the setup objective, for a dialog to be sent there.
 LEAST_WAIT_SHARE = 0.25
@@ -75,6 +80,7 @@
 # server was seen to carry is kept each second; and the fleet's trickle before any news.
 COLD_MARGIN = 0.9
 CARRIED_KEEPS = 0.98
+ROOM_SIGMAS = 2
 COLD_TRICKLE = 2 * SECOND
 
 # A leg sent so much before one that stands is taken for lost; above what the network reorders.
@@ -142,9 +148,11 @@
         self.no_agent_until = 0
         self.told_wait: int | None = None
         self.lines = 0.0
+        self.busy = 0.0
         self.answered_sent_at = 0
         self.delay = 0
         self.heard_at = now
+        self.fades: float = NEWS_FADES
         # Unanswered legs by (dialog, leg) with their time of sending; emptied by their results.
         self.out: dict[tuple[str, int], int] = {}
         self.window = WINDOW_FIRST
@@ -160,13 +168,14 @@
         # An unanswered leg's age is a lower bound of the wait: it shows a silent, hung or cut-off server, or
         # a queue that grows, before any answer or time-out can. A leg overtaken by the answer to a later one
         # is lost, not queued: it says nothing of the wait.
-        fading = max(0.0, 1 - (now - self.heard_at) / NEWS_FADES)
+        fading = max(0.0, 1 - (now - self.heard_at) / self.fades)
         known = self.told_wait if self.told_wait is not None else self.delay
         queued_since = self.answered_sent_at - OVERTAKEN_BY
         oldest = next((sent_at for sent_at in self.out.values() if sent_at > queued_since), now)
         return max(int(known * fading), now - oldest)
 
-    def heard(self, delay: int, now: int) -> None:
+    def heard(self, delay: int, now: int, turn: float) -> None:
+        self.fades = max(NEWS_FADES, NEWS_FADES_TURNS * turn)
         self.delay = int(self.delay + NEW_DELAY_WEIGHT * (delay - self.delay)) if self.delay else delay
         self.heard_at = now
 
@@ -246,13 +255,18 @@
             far.no_agent_until = self.now + NO_AGENT_HOLDS if report.free_lines < 1 else 0
         if report.lines and report.free_lines is not None:
             far.lines = report.lines
-            if self._cold_share(far) >= 1:
-                most, at = self._carried.get(far.entry.number, (0.0, self.now))
-                kept = most * CARRIED_KEEPS ** ((self.now - at) / SECOND)
-                self._carried[far.entry.number] = max(kept, report.lines - report.free_lines), self.now
+            far.busy = report.lines - report.free_lines
+            if self._cold_share(far) >= 1 and not self._carried.get(far.entry.number, (0.0, 0))[0]:
+                self._carries(far)
         if report.wait is not None:
             far.told_wait = report.wait
 
+    def _carries(self, far: Far) -> None:
+        if self._cold_share(far) >= 1:
+            most, at = self._carried.get(far.entry.number, (0.0, self.now))
+            kept = most * CARRIED_KEEPS ** ((self.now - at) / SECOND)
+            self._carried[far.entry.number] = max(kept, far.busy), self.now
+
     def learn(self, result: LegResult) -> list[tuple[str, int]]:
         """Every result teaches about its server, also of dialogs long ended; names legs to cancel."""
         far = self._fars.get(result.server)
@@ -270,8 +284,11 @@
         answered = (Outcome.STANDS, Outcome.ENDED, Outcome.LINE_BUSY, Outcome.FAULT)
         if result.outcome in answered:
             far.failures = 0
-            far.heard(self.now - sent_at, self.now)
-            far.adapt(self.now - sent_at <= self._prompt, sent_at, self.now)
+            far.heard(self.now - sent_at, self.now, self._turn(far))
+            prompt = self.now - sent_at <= self._prompt
+            far.adapt(prompt, sent_at, self.now)
+            if prompt:
+                self._carries(far)
             if result.outcome is not Outcome.STANDS:
                 return []
             far.answered_sent_at = max(far.answered_sent_at, sent_at)
@@ -282,8 +299,10 @@
         # own delays decide, since such a wait has been seen to contradict them.
         far.failures += 1
         far.adapt(False, sent_at, self.now)
-        far.heard(max(self.now - sent_at, far.delay), self.now)
-        far.shunned_until = self.now + doubled(SHUN_BASE, far.failures - 1, SHUN_CAP)
+        turn = self._turn(far)
+        far.heard(max(self.now - sent_at, far.delay), self.now, turn)
+        base, cap = max(SHUN_BASE, SHUN_BASE_TURNS * turn), max(SHUN_CAP, SHUN_CAP_TURNS * turn)
+        far.shunned_until = self.now + doubled(int(base), far.failures - 1, int(cap))
         return []
 
     def _overtaken(self, far: Far, sent_at: int) -> list[tuple[str, int]]:
@@ -358,18 +377,37 @@
         first = next((far for far in allowed if far.entry.number == dialog.first_choice), None)
         if first is not None and first.entry.id not in tried and self._takes(first, limit):
             return self._sent_to(first)
-        others = [far for far in allowed if far is not first and self._takes(far, limit)]
+        others = [
+            far for far in allowed if far is not first and self._room(far) > 0 and self._takes(far, limit)
+        ]
         fresh = [far for far in others if far.entry.id not in tried] or others
         if first is not None and not fresh and self._takes(first, limit):
             # Tried by this dialog before, but the only one left.
             fresh = [first]
         if not fresh:
             return None
-        one = fresh.pop(int(self._draw() * len(fresh)))
-        two = fresh.pop(int(self._draw() * len(fresh))) if fresh else one
+        one = self._drawn(fresh)
+        two = self._drawn([far for far in fresh if far is not one] or fresh)
         best = one if one.wait(self.now) <= two.wait(self.now) else two
         return self._sent_to(best)
 
+    def _room(self, far: Far) -> float:
+        # News of busy lines reaches every edge proxy, a jam only those who had a leg there. What waits at the
+        # processor holds lines too, so lines beyond the most it held while prompt, and beyond chance, are a
+        # queue: no second choices then. Prompt answers raise the mark, so that a server may take on more.
+        most = self._carried.get(far.entry.number, (0.0, 0))[0]
+        return most + ROOM_SIGMAS * most**0.5 - far.busy if most else 1.0
+
+    def _drawn(self, fars: list[Far]) -> Far:
+        # Drawn by room: drawn evenly, what large servers can't take would jam the small ones.
+        weights = [max(1e-9, self._room(far)) for far in fars]
+        left = self._draw() * sum(weights)
+        for far, weight in zip(fars, weights, strict=True):
+            left -= weight
+            if left < 0:
+                return far
+        return fars[-1]
+
     def _takes(self, far: Far, limit: int) -> bool:
         return (
             self.now >= far.no_agent_until
@@ -402,17 +440,17 @@
         # would all be spent in the same second. So each has its turns, spread by its place among all, and a
         # turn not used soon lapses: however sudden the demand, the turns open in one window keep within
         # what tips the server.
-        window, usual = self.terms.tip_span, self._usual_rate(far)
-        lapses = min(window, 1 / usual) if usual else window
-        tips = usual * self.terms.tip_multiple * share * COLD_MARGIN
+        window, turn = self.terms.tip_span, self._turn(far)
+        lapses = min(window, turn) if turn else window
+        tips = self.terms.tip_multiple * share * COLD_MARGIN / turn if turn else 0.0
         trickle = 1 / (COLD_TRICKLE * self.terms.edge_proxies)
         rate = max(tips * window / (window + lapses), trickle)
         far.turns += rate * (self.now - far.turned_at)
         far.turned_at = self.now
         return int(far.turns) > far.turn_taken and far.turns % 1 <= rate * lapses
 
-    def _usual_rate(self, far: Far) -> float:
-        """Our even share of the set-ups that a server takes when warm, in legs a nanosecond."""
+    def _turn(self, far: Far) -> float:
+        """The time in which our even share of what a server usually takes is one leg; 0 if not known."""
         # Busy lines over the length of a dialog are the rate at which they are set up, for the whole fleet
         # and from its very start; servers differ many times over in what they can do for each line.
         known = self._carried.get(far.entry.number)
@@ -426,7 +464,7 @@
             ]
             busy = far.lines * min(ratios, default=0.0)
         senders = self.terms.edge_proxies if self.terms.own_number < 0 else 1
-        return busy / (self._length * senders) if self._length else 0.0
+        return self._length * senders / busy if busy else 0.0
 
     def _sent_to(self, far: Far) -> Far:
         far.turn_taken = int(far.turns)
