--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -51,9 +51,9 @@
 
 # A server that last failed is left alone for so long, doubling with each failure in a row.
 SHUN_BASE = 500 * MS
-SHUN_BASE_TURNS = 0.5
+SHUN_BASE_TURNS = 2
 SHUN_CAP = 4 * SECOND
-SHUN_CAP_TURNS = 4
+SHUN_CAP_TURNS = 8
 
 # What a server's wait may be, in shares of the setup objective, for a dialog to be sent there.
 LEAST_WAIT_SHARE = 0.25
