A 'no free agent' reply holds for turns, until what is free would do for the fleet

Change: the reply holds for 4 turns (1 s at least) and news ends it only when the free lines would last the fleet 200 ms. It also covers a server that loses lines; it harms where one large server frees lines in bursts.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -298,6 +298,21 @@
     assert rig.said() == "s0"
 
 
+@pytest.mark.parametrize(("proxies", "free", "said"), [
+        (4, 1, "s0"), (400, 1, "declined"), (400, 7, "declined"), (400, 9, "s0"),
+])
+def test_free_agents_must_do_for_the_fleet(proxies: int, free: int, said: str) -> None:
+    rig = Rig(servers=1, edge_proxies=proxies)
+    rig.control.report("s0", Report(free_lines=0, lines=400 if proxies > 4 else 40))
+    rig.control.report("s0", Report(free_lines=100, lines=500))
+    rig.result(rig.dialog(0), "s0", Outcome.NO_AGENT)
+    rig.take()
+    rig.ahead(1100 * MS)
+    rig.control.report("s0", Report(free_lines=free, lines=400))
+    rig.dialog(0)
+    assert rig.said() == said
+
+
 def test_busy_number_is_left_alone_for_a_while() -> None:
     rig = Rig(servers=2)
     rig.result(rig.dialog(0, called_number=5), "s0", Outcome.LINE_BUSY)
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -70,8 +70,11 @@
 WINDOW_KEEPS = 0.6
 PROMPT_SHARE = 0.3
 
-# How long news that a server has no free agent holds without being told again.
+# How long news that a server has no free agent holds without being told again, and a 'no free agent' reply to
+# a leg of ours; for how long what the fleet takes there must be free to end it sooner.
 NO_AGENT_HOLDS = 1 * SECOND
+NO_AGENT_HOLDS_TURNS = 4
+AGENTS_LAST = 200 * MS
 
 # How long a number whose lines were all busy is taken to stay so.
 BUSY_NUMBER = 5 * SECOND
@@ -208,6 +211,8 @@
         # The most lines that the server of a number was seen to hold busy while warm, and when; outlives a
         # restart or a successor under that number. Emptied by the server list.
         self._carried: dict[int, tuple[float, int]] = {}
+        # Lines are shared by all edge proxies unless each has a group of its own.
+        self._senders = deployment.edge_proxies if deployment.own_number < 0 else 1
         self._length = sum(t.length for t in deployment.traffic_types.values()) / len(
             deployment.traffic_types
         )
@@ -252,7 +257,12 @@
         if far is None:
             return
         if report.free_lines is not None:
-            far.no_agent_until = self.now + NO_AGENT_HOLDS if report.free_lines < 1 else 0
+            turn = self._turn(far)
+            if report.free_lines < 1:
+                far.no_agent_until = max(far.no_agent_until, self.now + NO_AGENT_HOLDS)
+            elif not turn or report.free_lines >= self._senders * AGENTS_LAST / turn:
+                # One line free, told to hundreds of edge proxies, brings that server hundreds of vain legs.
+                far.no_agent_until = 0
         if report.lines and report.free_lines is not None:
             far.lines = report.lines
             far.busy = report.lines - report.free_lines
@@ -279,7 +289,7 @@
             return []
         if result.outcome is Outcome.NO_AGENT:
             # Said of the lines, not of the processor: it is neither slow nor ailing.
-            far.no_agent_until = self.now + NO_AGENT_HOLDS
+            far.no_agent_until = self.now + int(max(NO_AGENT_HOLDS, NO_AGENT_HOLDS_TURNS * self._turn(far)))
             return []
         answered = (Outcome.STANDS, Outcome.ENDED, Outcome.LINE_BUSY, Outcome.FAULT)
         if result.outcome in answered:
@@ -463,8 +473,7 @@
                 if f.lines and f.entry.number in self._carried
             ]
             busy = far.lines * min(ratios, default=0.0)
-        senders = self.terms.edge_proxies if self.terms.own_number < 0 else 1
-        return self._length * senders / busy if busy else 0.0
+        return self._length * self._senders / busy if busy else 0.0
 
     def _sent_to(self, far: Far) -> Far:
         far.turn_taken = int(far.turns)
