Second choices are thinned to the room left elsewhere

Change: the share of second choices that goes on is the room of the servers that take them over what the servers passed by usually take in a second; the rest is declined at once. Dialogs of higher importance and cut ones that come again pass. Told from a single bad server: then the room elsewhere exceeds what it sheds, and all go on. It harms where first choices are passed by for reasons that say nothing of the servers: lost answers, own stalls.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -13,6 +13,7 @@
 TYPES = {
     "plain": TYPE,
     "once": replace(TYPE, repeatable=False),
+    "worthy": replace(TYPE, importance=2.0),
     "only-1": replace(TYPE, server_numbers=frozenset([1])),
 }
 TERMS: dict[str, Any] = {"edge_proxies": 4, "own_number": -1, "list_is_pushed": True, "legs_allowed": 6}
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -263,13 +263,35 @@
     assert 70 < sent.count("s2") < 99
 
 
+@pytest.mark.parametrize(("passed_by", "more", "least", "most"), [
+        (1, {}, 99, 99), (4, {}, 30, 70), (16, {}, 3, 25), (16, {"was_cut": True}, 99, 99),
+        (16, {"kind": "worthy"}, 99, 99),
+])
+def test_second_choices_are_thinned_to_the_room_left(
+    passed_by: int, more: dict[str, Any], least: int, most: int
+) -> None:
+    rig = Rig(servers=passed_by + 1)
+    for n in range(passed_by + 1):
+        rig.control.report(f"s{n}", Report(free_lines=600, lines=1000))
+    for n in range(passed_by):
+        rig.control.report(f"s{n}", Report(free_lines=0, lines=400))
+    sent = 0
+    for _ in range(99):
+        id_ = rig.dialog(0, **more)
+        if rig.said().endswith(f"s{passed_by}"):
+            sent += 1
+            rig.result(id_, f"s{passed_by}", Outcome.NOT_SENT)
+    assert least <= sent <= most
+
+
 @pytest.mark.parametrize(("proxies", "after", "said"), [
         (4, 1400 * MS, "s1"), (4, 2100 * MS, "s0"), (400, 30 * SECOND, "s1"), (400, 200 * SECOND, "s0"),
 ])
 @pytest.mark.parametrize("outcome", [Outcome.STANDS, Outcome.FULL])
 def test_bad_news_holds_for_turns(proxies: int, after: int, said: str, outcome: Outcome) -> None:
     rig = Rig(servers=2, edge_proxies=proxies)
-    rig.control.report("s0", Report(free_lines=300, lines=400))
+    for name in ("s0", "s1"):
+        rig.control.report(name, Report(free_lines=300, lines=400))
     id_ = rig.dialog(0, no_answer=9 * SECOND)
     rig.ahead(4 * SECOND)
     rig.result(id_, "s0", outcome, asked_wait=9 * SECOND)
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -83,9 +83,13 @@
 # server was seen to carry is kept each second; and the fleet's trickle before any news.
 COLD_MARGIN = 0.9
 CARRIED_KEEPS = 0.98
-ROOM_SIGMAS = 2
 COLD_TRICKLE = 2 * SECOND
 
+# How far beyond that most a server's busy lines may go by chance, in standard deviations, before they show a
+# queue; and the span in which what servers passed by usually take must find room elsewhere.
+ROOM_SIGMAS = 2
+ROOM_SPAN = 1 * SECOND
+
 # A leg sent so much before one that stands is taken for lost; above what the network reorders.
 OVERTAKEN_BY = 100 * MS
 
@@ -387,25 +391,37 @@
         first = next((far for far in allowed if far.entry.number == dialog.first_choice), None)
         if first is not None and first.entry.id not in tried and self._takes(first, limit):
             return self._sent_to(first)
-        others = [
-            far for far in allowed if far is not first and self._room(far) > 0 and self._takes(far, limit)
-        ]
+        takers = [far for far in allowed if self._takes(far, limit)]
+        others = [far for far in takers if far is not first and self._room(far) > 0]
         fresh = [far for far in others if far.entry.id not in tried] or others
-        if first is not None and not fresh and self._takes(first, limit):
+        if first in takers and not fresh:
             # Tried by this dialog before, but the only one left.
             fresh = [first]
-        if not fresh:
+        if not fresh or not self._finds_room(takers, others, kind, dialog):
             return None
         one = self._drawn(fresh)
         two = self._drawn([far for far in fresh if far is not one] or fresh)
         best = one if one.wait(self.now) <= two.wait(self.now) else two
         return self._sent_to(best)
 
+    def _finds_room(self, takers: list[Far], others: list[Far], kind: TrafficType, dialog: Dialog) -> bool:
+        # What many servers can't take falls on the few that still can, from every edge proxy at once and with
+        # each redial again, and jams those too. Of what is passed by only the part that finds room goes on.
+        if dialog.traffic_type in self._important or dialog.was_cut:
+            return True
+        taking = {far.entry.number for far in takers}
+        passed_by = sum(
+            busy
+            for number, (busy, _) in self._carried.items()
+            if number not in taking and (kind.server_numbers is None or number in kind.server_numbers)
+        )
+        return self._draw() * passed_by * ROOM_SPAN < sum(self._room(far) for far in others) * self._length
+
     def _room(self, far: Far) -> float:
         # News of busy lines reaches every edge proxy, a jam only those who had a leg there. What waits at the
         # processor holds lines too, so lines beyond the most it held while prompt, and beyond chance, are a
         # queue: no second choices then. Prompt answers raise the mark, so that a server may take on more.
-        most = self._carried.get(far.entry.number, (0.0, 0))[0]
+        most = self._usual(far)
         return most + ROOM_SIGMAS * most**0.5 - far.busy if most else 1.0
 
     def _drawn(self, fars: list[Far]) -> Far:
@@ -463,17 +479,20 @@
         """The time in which our even share of what a server usually takes is one leg; 0 if not known."""
         # Busy lines over the length of a dialog are the rate at which they are set up, for the whole fleet
         # and from its very start; servers differ many times over in what they can do for each line.
+        busy = self._usual(far)
+        return self._length * self._senders / busy if busy else 0.0
+
+    def _usual(self, far: Far) -> float:
+        """The most lines that a server was seen to hold while prompt; 0 if nothing is known of any."""
         known = self._carried.get(far.entry.number)
         if known is not None:
-            busy = known[0]
-        else:
-            ratios = [
-                self._carried[f.entry.number][0] / f.lines
-                for f in self._fars.values()
-                if f.lines and f.entry.number in self._carried
-            ]
-            busy = far.lines * min(ratios, default=0.0)
-        return self._length * self._senders / busy if busy else 0.0
+            return known[0]
+        ratios = [
+            self._carried[f.entry.number][0] / f.lines
+            for f in self._fars.values()
+            if f.lines and f.entry.number in self._carried
+        ]
+        return far.lines * min(ratios, default=0.0)
 
     def _sent_to(self, far: Far) -> Far:
         far.turn_taken = int(far.turns)
