Attempt terms whole: routes, budgets by server set, a grammar, every course reckoned

Routes by trunk group (the caller's connection) and server set (the first choice); legs in all, objective, no-answer time, server share, come-back; token count and fraction by server set, kept as a share over a change. All overlaps of sections are checked, threes included. In the decisions: no other leg after 'no free agent' at the no-answer time itself.

--- a/valverouter/attempts/courses.py
+++ b/valverouter/attempts/courses.py
@@ -45,12 +45,18 @@
     follows is alike.
     """
     begins: dict[int, tuple[Step, ...]] = {0: ()}
-    for leg in range(1, terms.legs + 1):
+    in_all = max(terms.legs, terms.legs_in_all)
+    for leg in range(1, in_all + 1):
         after: dict[int, tuple[Step, ...]] = {}
         for at, before in begins.items():
             for over, fate in _ends(terms, at, leg):
                 steps = (*before, Step(at, over - at, f"leg {leg}: {fate}"))
-                if over >= terms.no_answer or leg == terms.legs:
+                for again in {over, min(over, terms.no_answer - 1)} if leg < in_all else ():
+                    # A course of its own: it goes on at once, and no attempt has failed.
+                    if again < terms.no_answer:
+                        no_agent = Step(at, again - at, f"leg {leg}: no free agent there")
+                        after.setdefault(again, (*before, no_agent))
+                if over >= terms.no_answer or leg >= terms.legs:
                     yield Course((*steps, Step(over, 0, "answered")), over, leg)
                     continue
                 for wait, why in _waits(terms, leg, terms.no_answer - over):
@@ -81,6 +87,9 @@
         yield most, f"{why}, the largest draw"
         if shortest < rest - 1 < most:
             yield rest - 1, f"{why}, a draw that just fits"
+    if 0 < rest - 1 < terms.asked_wait_most:
+        # A server may ask for any wait up to the longest: one that just fits takes the dialog on.
+        yield rest - 1, "an asked wait that just fits"
 
 
 def longest(terms: AttemptTerms) -> Course:
@@ -93,6 +102,10 @@
     found: list[tuple[str, str]] = []
     if not 1 <= terms.legs <= legs_most:
         found.append(("legs", f"{terms.legs} legs, from 1 to {legs_most} are allowed"))
+    if terms.legs_in_all and not terms.legs <= terms.legs_in_all <= legs_most:
+        found.append(
+            ("legs_in_all", f"{terms.legs_in_all}, from legs, {terms.legs}, to {legs_most} are allowed")
+        )
     if terms.release_wait < release_least:
         least = f"{release_least} ns or more"
         found.append(("release_wait", f"a resend {terms.release_wait} ns after a time-out; {least}"))
@@ -102,4 +115,24 @@
         found.append(("retry_base", f"above retry_cap, {terms.retry_cap} ns"))
     if terms.leg_time_out >= terms.no_answer:
         found.append(("leg_time_out", f"never acts; below no_answer, {terms.no_answer} ns, or left out"))
+    elif terms.leg_time_out and terms.legs > 1 and (lost := _never_again(terms)) is not None:
+        found.append(("leg_time_out", f"leaves no time for another leg: {told(lost)}"))
     return found
+
+
+def _never_again(terms: AttemptTerms) -> Course | None:
+    """The course of a time-out after which no other leg can follow, whatever the draw."""
+    over, wait = terms.leg_time_out, terms.release_wait
+    if over + wait < terms.no_answer:
+        return None
+    steps = (
+        Step(0, over, "leg 1: its time is up"),
+        Step(over, wait, "retry 1: release time, the least draw"),
+        Step(over, 0, f"answered: that would pass the no-answer time of {terms.no_answer} ns"),
+    )
+    return Course(steps, over, 1)
+
+
+def told(course: Course) -> str:
+    """A course in one line, step by step."""
+    return "; ".join(f"at {step.at} ns {step.what}, {step.span} ns" for step in course.steps)
--- a/valverouter/attempts/rules.py
+++ b/valverouter/attempts/rules.py
@@ -106,6 +106,23 @@
     return found
 
 
+def closure(whens: Sequence[When], most: int) -> list[When]:
+    """All that some of these match together, themselves included; ends past `most`, being then of no use.
+
+    What three sections set may break a rule that no two of them break.
+    """
+    found = dict.fromkeys(whens)
+    waiting = list(found)
+    while waiting and len(found) <= most:
+        one = waiting.pop()
+        for other in whens:
+            both = one.meet(other)
+            if both is not None and both not in found:
+                found[both] = None
+                waiting.append(both)
+    return list(found)
+
+
 def ties(rules: Sequence[Rule]) -> list[Tie]:
     """All pairs that can tie, but those that a third rule settles by being more specific than both there."""
     found: list[Tie] = []
--- a/valverouter/cli/__main__.py
+++ b/valverouter/cli/__main__.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 
 import click
@@ -19,7 +20,9 @@
 from rich.console import Console
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 
+from valverouter.attempts.courses import courses, longest
 from valverouter.audit.account import account
+from valverouter.audit.attempts import seen
 from valverouter.audit.rules import audit
 from valverouter.cli import logs, tables
 from valverouter.days.dayfile import Day, day, load_day
@@ -33,10 +36,12 @@
 from valverouter.regions.accounts import by_minute, merged, missing
 from valverouter.regions.crossing import Crossing
 from valverouter.signalling import tap
-from valverouter.terms.edge import EdgeTerms, Log, edge_terms, load_edge_terms
+from valverouter.terms.edge import EdgeTerms, Log, edge_terms, load_edge_terms, load_settled
 from valverouter.terms.ini import FlawedTermsError, IniFile, show_span, span
 
 BROKEN, UNUSABLE, FAILED = 1, 2, 3
+# The callers' no-answer time where a command is told none.
+SHOWN_NO_ANSWER = 9 * 10**9
 
 FILE = click.Path(path_type=Path)
 console = Console()
@@ -82,7 +87,7 @@
                 proxy.stop()
                 continue
             try:
-                proxy.reload(load_edge_terms(file))
+                proxy.reload(await load_settled(file))
             except FlawedTermsError as error:
                 log.error("reload-refused", why=str(error))
 
@@ -184,33 +189,78 @@
     """Timers and attempts by class and route."""
 
 
+def of_dialog(command: Callable[..., None]) -> Callable[..., None]:
+    """The options that say which dialog is meant, beside its class."""
+    for option in (
+        click.option("--first-choice", default=-1, help="The number of its first choice; -1: none."),
+        click.option("--peer", default="", help="The caller's name, which decides on the trunk group."),
+        click.option("--number", default=0, help="The number called."),
+    ):
+        command = option(command)
+    return command
+
+
+@terms.command("check")
+@click.argument("files", type=FILE, nargs=-1, required=True)
+def terms_check(files: tuple[Path, ...]) -> None:
+    """Check each of FILES whole; prints every flaw with file, line, key and reason. Exits with 2 for any."""
+    flaws = []
+    for file in files:
+        try:
+            book = AttemptBook(loaded := load_edge_terms(file))
+        except FlawedTermsError as error:
+            flaws += error.flaws
+            continue
+        sections = len(loaded.attempts.sections)
+        console.print(f"{file}: sound, {sections} sections of attempts", highlight=False, soft_wrap=True)
+        for kind in loaded.deployment.traffic_types:
+            most = max(course.legs for course in courses(book.reckoned(kind, 0, SHOWN_NO_ANSWER)))
+            console.print(f"  {kind}: {most} legs at most", highlight=False)
+    if flaws:
+        raise FlawedTermsError(flaws)
+
+
 @terms.command("explain")
 @click.argument("file", type=FILE)
 @click.option("--class", "traffic_type", required=True, help="The dialog's traffic type.")
-@click.option("--number", default=0, help="The number called.")
-def terms_explain(file: Path, traffic_type: str, number: int) -> None:
+@of_dialog
+def terms_explain(file: Path, traffic_type: str, number: int, peer: str, first_choice: int) -> None:
     """Each effective value for such a dialog at FILE's edge proxy, and the line that it comes from."""
     loaded = load_edge_terms(file)
     if traffic_type not in loaded.deployment.traffic_types:
         raise ValueError(f"{file}: there is no [traffic {traffic_type}]")
-    for key, one in AttemptBook(loaded).explain(traffic_type, number).items():
-        shown = str(one.value) if key == "legs" else show_span(one.value) if one.value else "none"
-        console.print(f"{key:14} {shown:10} {one.rule}", highlight=False, markup=False, soft_wrap=True)
+    for key, one in AttemptBook(loaded).explain(traffic_type, number, peer, first_choice).items():
+        console.print(
+            f"{key:14} {_shown(key, one.value):10} {one.rule}", highlight=False, markup=False, soft_wrap=True
+        )
+
+
+def _shown(key: str, value: float) -> str:
+    if key in ("legs", "legs_in_all", "tokens", "fraction"):
+        return f"{value:g}" if value else "the fleet's"
+    return show_span(int(value)) if value else "none"
 
 
 @terms.command("courses")
 @click.argument("file", type=FILE)
-@click.option("--number", default=0, help="The number called.")
 @click.option("--no-answer", default="9s", show_default=True, help="The callers' no-answer time.")
-def terms_courses(file: Path, number: int, no_answer: str) -> None:
+@click.option("--chart", is_flag=True, help="Each type's course as a bar on one scale of time.")
+@of_dialog
+def terms_courses(file: Path, no_answer: str, chart: bool, number: int, peer: str, first_choice: int) -> None:
     """The longest course that FILE's terms allow each traffic type, step by step."""
     loaded = load_edge_terms(file)
     book = AttemptBook(loaded)
     within = span(no_answer) - loaded.answer_margin
     if within <= 0:
         raise ValueError(f"no-answer time {no_answer} leaves nothing past the answer margin")
-    for kind in loaded.deployment.traffic_types:
-        course = book.longest(kind, number, within)
+    found = {
+        kind: longest(book.reckoned(kind, number, within, peer, first_choice))
+        for kind in loaded.deployment.traffic_types
+    }
+    if chart:
+        tables.print_courses(console, found, within)
+        return
+    for kind, course in found.items():
         console.print(
             f"{kind}: answered at {show_span(course.answered_at)}, {course.legs} legs", highlight=False
         )
@@ -223,9 +273,12 @@
 @terms.command("diff")
 @click.argument("old", type=FILE)
 @click.argument("new", type=FILE)
-@click.option("--number", default=0, help="The number called.")
-def terms_diff(old: Path, new: Path, number: int) -> None:
-    """What changes for whom between two files; exits with 1 when anything does."""
+@of_dialog
+def terms_diff(old: Path, new: Path, number: int, peer: str, first_choice: int) -> None:
+    """What changes for whom between two files; exits with 1 when anything does.
+
+    By class, and for each of them by each route that a section of either file names.
+    """
     before, after = load_edge_terms(old), load_edge_terms(new)
     books, changed = (AttemptBook(before), AttemptBook(after)), False
     for kind in {**before.deployment.traffic_types, **after.deployment.traffic_types}:
@@ -234,16 +287,39 @@
             changed = True
             console.print(f"{kind}: {'new' if gone == [before] else 'gone'}", highlight=False)
             continue
-        one, two = (book.explain(kind, number) for book in books)
-        for key in one:
-            if one[key].value != two[key].value:
-                changed = True
-                console.print(
-                    f"{kind} {key}: {one[key].value} to {two[key].value}, {two[key].rule}", soft_wrap=True
-                )
+        routes = {str(number): (number, peer, first_choice)} | {
+            name: route for book in books for name, route in book.routes().items()
+        }
+        for name, route in routes.items():
+            one, two = (book.explain(kind, *route) for book in books)
+            for key in one:
+                if one[key].value != two[key].value:
+                    changed = True
+                    was, now = _shown(key, one[key].value), _shown(key, two[key].value)
+                    console.print(
+                        f"{kind}, {name}: {key} {was} to {now}, {two[key].rule}",
+                        highlight=False,
+                        markup=False,
+                        soft_wrap=True,
+                    )
     sys.exit(BROKEN if changed else 0)
 
 
+@terms.command("seen")
+@click.argument("records", type=FILE)
+def terms_seen(records: Path) -> None:
+    """Legs, time-outs and gaps by class in kept RECORDS, as the servers saw them."""
+    for kind, one in seen(tap.read(records)).items():
+        over = "none" if one.cancelled_after is None else " to ".join(map(show_span, one.cancelled_after))
+        gap = "none" if one.gap is None else show_span(one.gap)
+        console.print(
+            f"{kind}: {one.dialogs} dialogs, {one.legs} legs, at most {one.legs_most} each; "
+            f"let go after {over}; shortest wait after that {gap}",
+            highlight=False,
+            soft_wrap=True,
+        )
+
+
 @main.group()
 def regions() -> None:
     """What crossed from region to region, and what had better."""
--- a/valverouter/cli/tables.py
+++ b/valverouter/cli/tables.py
@@ -6,10 +6,12 @@
 from rich.console import Console
 from rich.table import Table
 
+from valverouter.attempts.courses import Course
 from valverouter.audit.account import Account, service
 from valverouter.audit.rules import Verdict
 from valverouter.regions.accounts import COUNTS, Line, Tally
 from valverouter.regions.planner import Plan
+from valverouter.terms.ini import show_span
 
 RULES = {
     1: "one final answer, in time, nothing after",
@@ -94,3 +96,16 @@
         console.print(f"  short: {kind} of {region}, {rate:.2f} a second")
     for name in found.binds:
         console.print(f"  binds: {name}")
+
+
+def print_courses(console: Console, found: dict[str, Course], within: int) -> None:
+    """Courses as bars on one scale up to the no-answer time: legs full, waits light."""
+    wide = 40
+    for kind, course in found.items():
+        bar = ""
+        for step in course.steps:
+            upto = round((step.at + step.span) * wide / within)
+            bar += ("█" if step.what.startswith("leg") else "░") * max(0, upto - len(bar))
+        at = show_span(course.answered_at)
+        console.print(f"{kind:20} {bar:{wide}} {at}, {course.legs} legs", highlight=False, soft_wrap=True)
+    console.print(f"{'':20} 0{show_span(within):>{wide - 1}}   █ a leg, ░ a wait", highlight=False)
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -9,12 +9,13 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from enum import Enum, auto
 
 from valverouter.interface import (
     Abort,
     AttemptTerms,
+    BudgetTerms,
     Course,
     CrossingRule,
     Decline,
@@ -38,6 +39,7 @@
 TOKEN = 1_000
 FULL_COUNT = 10 * TOKEN
 STAND_ADDS = TOKEN // 10
+OWN_BUDGET = BudgetTerms(FULL_COUNT, STAND_ADDS)
 
 # The wait before retry n, and the legs of a dialog.
 RETRY_BASE = 200 * MS
@@ -113,18 +115,25 @@
 class RetryBudget:
     """The paper's Budget for one far server: starts full, first legs are never limited by it."""
 
-    def __init__(self) -> None:
-        self.tokens = FULL_COUNT
+    def __init__(self, terms: BudgetTerms = OWN_BUDGET) -> None:
+        self.terms = terms
+        self.tokens = terms.full
+
+    def change(self, terms: BudgetTerms) -> None:
+        # What was learnt is the share that is left: a new full count neither forgives nor punishes.
+        if terms != self.terms:
+            self.tokens = self.tokens * terms.full // self.terms.full
+            self.terms = terms
 
     def failed(self) -> None:
         self.tokens = max(0, self.tokens - TOKEN)
 
     def stood(self) -> None:
-        self.tokens = min(FULL_COUNT, self.tokens + STAND_ADDS)
+        self.tokens = min(self.terms.full, self.tokens + self.terms.adds)
 
     @property
     def allows_retry(self) -> bool:
-        return self.tokens * 2 > FULL_COUNT
+        return self.tokens * 2 > self.terms.full
 
 
 def decide(budget: RetryBudget, legs: int, legs_allowed: int, again_at: int, no_answer_at: int) -> Verdict:
@@ -151,9 +160,9 @@
 class Far:
     """What this edge proxy knows of one far server since that server's latest start."""
 
-    def __init__(self, entry: ServerEntry, now: int) -> None:
+    def __init__(self, entry: ServerEntry, now: int, budget: BudgetTerms) -> None:
         self.entry = entry
-        self.budget = RetryBudget()
+        self.budget = RetryBudget(budget)
         self.no_agent_until = 0
         self.told_wait: int | None = None
         self.lines = 0.0
@@ -217,6 +226,9 @@
         self._draws = 0
         # Emptied by the server list: an entry goes when the list drops it.
         self._fars: dict[str, Far] = {}
+        # Budget terms by server number, where they are not our own; replaced whole.
+        self._budgets: Mapping[int, BudgetTerms] = {}
+        self._budget_elsewhere = OWN_BUDGET
         # Called numbers whose lines were all busy, until when; emptied as they pass.
         self._busy_numbers: dict[int, int] = {}
         # The most lines that the server of a number was seen to hold busy while warm, and when; outlives a
@@ -253,7 +265,7 @@
             known = self._fars.get(entry.id)
             if known is None or (entry.in_service and entry.started_at != known.entry.started_at):
                 # A fresh start owes nothing to the process before it, its legs included.
-                self._fars[entry.id] = far = Far(entry, self.now)
+                self._fars[entry.id] = far = Far(entry, self.now, self._budget_of(entry))
                 far.turns = self.terms.place / self.terms.edge_proxies
             else:
                 known.entry = entry
@@ -263,6 +275,14 @@
             numbers = {far.entry.number for far in self._fars.values()}
             self._carried = {n: carried for n, carried in self._carried.items() if n in numbers}
 
+    def budgets(self, by_number: Mapping[int, BudgetTerms], elsewhere: BudgetTerms) -> None:
+        self._budgets, self._budget_elsewhere = by_number, elsewhere
+        for far in self._fars.values():
+            far.budget.change(self._budget_of(far.entry))
+
+    def _budget_of(self, entry: ServerEntry) -> BudgetTerms:
+        return self._budgets.get(entry.number, self._budget_elsewhere)
+
     def report(self, server: str, report: Report) -> None:
         far = self._fars.get(server)
         if far is None:
@@ -344,7 +364,7 @@
         """One dialog from its arrival to its answer."""
         kind = self.terms.traffic_types.get(dialog.traffic_type)
         if kind is None or self._lines_busy(dialog.called_number):
-            yield Decline(self._come_back())
+            yield Decline(self._come_back(dialog.attempts))
             return
         legs = 0
         terms = dialog.attempts or self._attempts(kind)
@@ -354,7 +374,7 @@
             if far is None:
                 if self.crossing is not None and self._held_back:
                     self.crossing.refused(self.now, dialog.traffic_type)
-                yield Decline(self._come_back())
+                yield Decline(self._come_back(terms))
                 return
             if self.crossing is not None:
                 self.crossing.sent(self.now, dialog.traffic_type, far.entry.region, (dialog.id, legs))
@@ -376,7 +396,8 @@
                 self._busy_numbers[dialog.called_number] = self.now + BUSY_NUMBER
                 yield Abort()
                 return
-            if outcome is Outcome.NO_AGENT and legs < self.terms.legs_allowed:
+            in_all = min(terms.legs_in_all or self.terms.legs_allowed, self.terms.legs_allowed)
+            if outcome is Outcome.NO_AGENT and legs < in_all and self.now < dialog.no_answer_at:
                 # The news was older than the lines: the server rule goes on at once, nothing has failed.
                 continue
             proven_unrun = outcome in (Outcome.FULL, Outcome.NO_AGENT, Outcome.UNREACHABLE)
@@ -392,7 +413,7 @@
                 yield Abort()
                 return
             if verdict is not Verdict.AGAIN:
-                yield Decline(self._come_back())
+                yield Decline(self._come_back(terms))
                 return
             yield Pause(wait)
 
@@ -500,10 +521,11 @@
         )
 
     def _wait_limit(self, dialog: Dialog, kind: TrafficType) -> int:
+        objective = dialog.attempts.objective if dialog.attempts else kind.objective
         if dialog.traffic_type in self._important or dialog.was_cut:
-            return int(kind.objective * IMPORTANT_WAIT_SHARE)
+            return int(objective * IMPORTANT_WAIT_SHARE)
         # Drawn per dialog so that a rising wait turns away a rising share, not all at one moment.
-        return int(kind.objective * (LEAST_WAIT_SHARE + WAIT_SHARE_SPAN * self._draw()))
+        return int(objective * (LEAST_WAIT_SHARE + WAIT_SHARE_SPAN * self._draw()))
 
     # Cold servers
 
@@ -570,8 +592,9 @@
             del self._busy_numbers[passed]
         return number in self._busy_numbers
 
-    def _come_back(self) -> int:
-        return min(self.terms.come_back_limit, int(COME_BACK * (0.5 + self._draw())))
+    def _come_back(self, terms: AttemptTerms | None) -> int:
+        usual = (terms.come_back if terms else 0) or COME_BACK
+        return min(self.terms.come_back_limit, int(usual * (0.5 + self._draw())))
 
     def _draw(self) -> float:
         """A number from 0 up to 1, from the instance's seed and a counter alone."""
--- a/valverouter/days/dayfile.py
+++ b/valverouter/days/dayfile.py
@@ -12,7 +12,7 @@
 from valverouter.servermodel.server import Make
 from valverouter.standins.callers import Habits
 from valverouter.terms.edge import EdgeTerms, Fleet, Links, Traffic, edge_terms, traffic_types
-from valverouter.terms.ini import IniFile, LongSpan, Positive, Rate, Share, Span, Whole, Words
+from valverouter.terms.ini import IniFile, LongSpan, PerSecond, Positive, Rate, Share, Span, Whole, Words
 
 MS, SECOND = 10**6, 10**9
 
@@ -87,7 +87,7 @@
     `local`: their first choice is a server of their own edge proxy's region, where it has one.
     """
 
-    rate: Rate
+    rate: PerSecond
     redials: Whole = 0
     redial_wait: LongSpan = 800 * MS
     patience: Annotated[float, Meta(gt=0, le=1)] = 1.0
--- a/valverouter/driver.py
+++ b/valverouter/driver.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from valverouter.control import Control
@@ -14,6 +14,7 @@
     Abort,
     Alarm,
     Answer,
+    BudgetTerms,
     CancelLeg,
     Command,
     Course,
@@ -82,6 +83,9 @@
         if upkeep.ref is None and scope is not ListScope.CACHED:
             self._resume(UPKEEP, upkeep, scope)
 
+    def budgets(self, by_number: Mapping[int, BudgetTerms], elsewhere: BudgetTerms) -> None:
+        self.control.budgets(by_number, elsewhere)
+
     def report(self, server: str, report: Report) -> None:
         self.control.report(server, report)
 
--- a/valverouter/edge/attempting.py
+++ b/valverouter/edge/attempting.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import replace
 
-from valverouter.attempts.courses import Course, broken, longest
-from valverouter.attempts.rules import Asked, Effective, Rule, When, resolve, ties
-from valverouter.control import LEGS, RETRY_BASE, RETRY_CAP
-from valverouter.interface import AttemptTerms, Deployment
-from valverouter.terms.attempts import SETS, AttemptSection
+from valverouter.attempts.courses import broken
+from valverouter.attempts.rules import Asked, Effective, Rule, When, closure, resolve, ties
+from valverouter.control import LEGS, OWN_BUDGET, RETRY_BASE, RETRY_CAP, TOKEN
+from valverouter.interface import AttemptTerms, BudgetTerms, Deployment
+from valverouter.terms.attempts import BUDGET_SETS, SETS, AttemptSection
 from valverouter.terms.edge import EdgeTerms
+from valverouter.terms.grammar import matches_peer
 from valverouter.terms.ini import Flaw, FlawedTermsError
 
 DECISIONS = "the decisions' own"
+# Combinations of sections that are checked, and called numbers' routes that are kept between dialogs.
+COMBINATIONS_MOST = 20_000
+ROUTES_KEPT = 10_000
 
 
 class AttemptBook:
@@ -22,76 +27,158 @@
     def __init__(self, terms: EdgeTerms) -> None:
         self._deployment = terms.deployment
         self._region = terms.region
-        self._sections = {section.name: section for section in terms.attempts}
-        self._rules = [_rule(section) for section in terms.attempts]
-        # By type and which sections match: as many as the file has such combinations, gone with the book.
-        self._known: dict[tuple[str, tuple[bool, ...]], AttemptTerms | None] = {}
+        self._margin = terms.answer_margin
+        self._groups = terms.attempts.trunk_groups
+        self._sets = {
+            number: name for name, one in terms.attempts.server_sets.items() for number in one.servers
+        }
+        self._sections = {section.name: section for section in terms.attempts.sections}
+        self._rules = [rule for section in terms.attempts.sections for rule in _rules(section, SETS)]
+        self._of_servers = [r for section in terms.attempts.sections for r in _rules(section, BUDGET_SETS)]
+        # By what decides on a dialog's terms; full, it is begun anew, so numbers that pass can't fill memory.
+        self._known: dict[Asked, AttemptTerms | None] = {}
         if flaws := [*self._ties(), *self._broken()]:
             raise FlawedTermsError(sorted(flaws, key=lambda flaw: flaw.line))
 
-    def of(self, traffic_type: str, number: int) -> AttemptTerms | None:
+    def of(
+        self, traffic_type: str, number: int, peer: str = "", first_choice: int = -1
+    ) -> AttemptTerms | None:
         """A dialog's terms; None where no section touches it, or its type is unknown: the decisions' own
         hold."""
-        if traffic_type not in self._deployment.traffic_types:
-            return None
-        asked = Asked(traffic_type, str(number), self._region)
-        key = traffic_type, tuple(rule.when.matches(asked) for rule in self._rules)
-        if key not in self._known:
-            found = resolve(self._rules, asked)
-            self._known[key] = self._terms(traffic_type, found) if found else None
-        return self._known[key]
-
-    def explain(self, traffic_type: str, number: int) -> dict[str, Effective]:
+        asked = self.asked(traffic_type, number, peer, first_choice)
+        if asked not in self._known:
+            if len(self._known) >= ROUTES_KEPT:
+                self._known.clear()
+            found = resolve(self._rules, asked) if traffic_type in self._deployment.traffic_types else {}
+            self._known[asked] = self._terms(traffic_type, found) if found else None
+        return self._known[asked]
+
+    def asked(self, traffic_type: str, number: int, peer: str = "", first_choice: int = -1) -> Asked:
+        """What of a dialog decides on its terms: its trunk group is its caller's, its server set that of its
+        first choice."""
+        return Asked(
+            traffic_type, str(number), self._region, self._group(peer), self._sets.get(first_choice, "")
+        )
+
+    def budgets(self) -> dict[int, BudgetTerms]:
+        """Retry budgets by server number, where a section of that server's set, or one for all, sets them."""
+        return {
+            number: _budget(resolve(self._of_servers, Asked("", "", "", "", name)))
+            for number, name in self._sets.items()
+            if self._of_servers
+        }
+
+    def budget_elsewhere(self) -> BudgetTerms:
+        """The retry budget of servers in no set."""
+        return _budget(resolve(self._of_servers, Asked("")))
+
+    def explain(
+        self, traffic_type: str, number: int, peer: str = "", first_choice: int = -1
+    ) -> dict[str, Effective]:
         """Each key's value for such a dialog, and the section and line that it comes from."""
-        found = resolve(self._rules, Asked(traffic_type, str(number), self._region))
+        asked = self.asked(traffic_type, number, peer, first_choice)
+        found = resolve(self._rules, asked)
+        terms = self._terms(traffic_type, found)
+        budget = resolve(self._of_servers, Asked("", "", "", "", asked.server_set))
+        effective = _budget(budget)
+        values = {key: getattr(terms, key) for key in SETS if key != "server_share"}
+        values |= {"tokens": effective.full / TOKEN, "fraction": effective.adds / TOKEN}
         shown = {}
-        for key in SETS:
-            value = getattr(self._terms(traffic_type, found), key)
+        for key, value in values.items():
             source = DECISIONS
-            if key in found:
-                section = self._sections[found[key].rule]
-                source = f"{section.file}:{section.lines[key]} [attempts {section.name}]"
+            by = "server_share" if key == "leg_time_out" and _by_share(found) else key
+            if one := {**found, **budget}.get(by):
+                section = self._sections[one.rule]
+                source = f"{section.file}:{section.lines[by]} [attempts {section.name}]"
             shown[key] = Effective(value, source)
         return shown
 
-    def longest(self, traffic_type: str, number: int, no_answer: int) -> Course:
-        """The course whose answer comes last for such a dialog, step by step."""
-        terms = self.of(traffic_type, number) or self._terms(traffic_type, {})
-        return longest(replace(terms, no_answer=no_answer, asked_wait_most=no_answer))
+    def reckoned(
+        self, traffic_type: str, number: int, no_answer: int, peer: str = "", first_choice: int = -1
+    ) -> AttemptTerms:
+        """A dialog's terms as `courses` reckons with them: its caller's no-answer time, any asked wait."""
+        terms = self.of(traffic_type, number, peer, first_choice) or self._terms(traffic_type, {})
+        least = min(no_answer, terms.no_answer or no_answer)
+        allowed = self._deployment.legs_allowed
+        in_all = min(terms.legs_in_all or allowed, allowed)
+        return replace(terms, no_answer=least, asked_wait_most=least, legs_in_all=in_all)
+
+    def routes(self) -> dict[str, tuple[int, str, int]]:
+        """For each section the number, peer and first choice of a dialog on its route, by its name."""
+        found = {}
+        for section in self._sections.values():
+            keys = section.keys
+            group, one = self._groups.get(keys.trunk_group or ""), keys.server_set
+            peer = group.peers[0].rstrip("*") if group is not None else ""
+            first = next((number for number, name in self._sets.items() if name == one), -1)
+            for prefix in keys.prefix[:1]:
+                found[f"[attempts {section.name}]"] = int(prefix or 0), peer, first
+        return found
+
+    def _group(self, peer: str) -> str:
+        fits = [
+            (len(pattern), name)
+            for name, group in self._groups.items()
+            for pattern in group.peers
+            if matches_peer(pattern, peer)
+        ]
+        return max(fits, default=(0, ""))[1]
 
-    def _terms(self, traffic_type: str, found: dict[str, Effective]) -> AttemptTerms:
+    def _terms(self, traffic_type: str, found: Mapping[str, Effective]) -> AttemptTerms:
         kind = self._deployment.traffic_types.get(traffic_type)
-        objective = kind.objective if kind is not None else 0
-        own = own_terms(self._deployment, objective)
-        return replace(own, **{key: one.value for key, one in found.items()})
+        own = own_terms(self._deployment, kind.objective if kind is not None else 0)
+        set_here = {key: one.value for key, one in found.items() if key != "server_share"}
+        terms = replace(own, **set_here)
+        if "server_share" in found:
+            # Of two ways to say how long one server may take the shorter acts.
+            by_share = max(1, int(found["server_share"].value * terms.objective))
+            terms = replace(terms, leg_time_out=min(by_share, terms.leg_time_out or by_share))
+        return terms
 
     def _ties(self) -> list[Flaw]:
         return [
             self._flaw(tie.two, tie.key, f"ties with [attempts {tie.one}]: both match {tie.where}")
-            for tie in ties(self._rules)
+            for rules in (self._rules, self._of_servers)
+            for tie in ties(rules)
         ]
 
     def _broken(self) -> list[Flaw]:
         """Each combination of sections that some dialog can meet is checked as a whole."""
         flaws: dict[tuple[str, str], Flaw] = {}
-        meets = [rule.when for rule in self._rules]
-        for one in list(meets):
-            meets += [both for rule in self._rules if (both := one.meet(rule.when)) is not None]
-        for when in dict.fromkeys(meets):
+        meets = closure([rule.when for rule in self._rules], COMBINATIONS_MOST)
+        if len(meets) > COMBINATIONS_MOST:
+            section = next(iter(self._sections.values()))
+            why = f"the sections overlap in more than {COMBINATIONS_MOST} ways; fewer can be checked"
+            return [Flaw(section.file, section.line, f"attempts {section.name}", "", why)]
+        for when in meets:
             for traffic_type in [when.traffic_type] if when.traffic_type else self._deployment.traffic_types:
-                asked = Asked(traffic_type, when.prefix, when.region or self._region)
+                asked = Asked(
+                    traffic_type,
+                    when.prefix,
+                    when.region or self._region,
+                    when.trunk_group or "",
+                    when.server_set or "",
+                )
                 setting = [rule for rule in self._rules if rule.when.matches(asked)]
                 if ties(setting):
                     continue
                 found = resolve(self._rules, asked)
-                terms = replace(self._terms(traffic_type, found), no_answer=1 << 62)
-                for key, reason in broken(
-                    terms, self._deployment.release_wait, self._deployment.legs_allowed
-                ):
-                    rule = found[key].rule if key in found else setting[0].name
-                    flaws.setdefault((rule, key), self._flaw(rule, key, reason))
+                for key, reason in self._breaks(self._terms(traffic_type, found)):
+                    by = "server_share" if key == "leg_time_out" and _by_share(found) else key
+                    rule = found[by].rule if by in found else setting[0].name
+                    flaws.setdefault((rule, by), self._flaw(rule, by, reason))
         return list(flaws.values())
 
+    def _breaks(self, terms: AttemptTerms) -> list[tuple[str, str]]:
+        whole = replace(terms, no_answer=terms.no_answer or 1 << 62)
+        found = broken(whole, self._deployment.release_wait, self._deployment.legs_allowed)
+        if terms.come_back > self._deployment.come_back_limit:
+            limit = self._deployment.come_back_limit
+            found.append(("come_back", f"past the fleet's come_back_limit of {limit} ns, which would act"))
+        if 0 < terms.no_answer <= self._margin:
+            found.append(("no_answer", f"within answer_margin, {self._margin} ns: no answer could travel"))
+        return found
+
     def _flaw(self, rule: str, key: str, reason: str) -> Flaw:
         section = self._sections[rule]
         line = section.lines.get(key, section.line)
@@ -103,7 +190,22 @@
     return AttemptTerms(LEGS, objective, 0, deployment.release_wait, RETRY_BASE, RETRY_CAP)
 
 
-def _rule(section: AttemptSection) -> Rule:
+def _budget(found: Mapping[str, Effective]) -> BudgetTerms:
+    tokens = round(found["tokens"].value * TOKEN) if "tokens" in found else OWN_BUDGET.full
+    adds = round(found["fraction"].value * TOKEN) if "fraction" in found else OWN_BUDGET.adds
+    return BudgetTerms(tokens, adds)
+
+
+def _by_share(found: Mapping[str, Effective]) -> bool:
+    return "server_share" in found and "leg_time_out" not in found
+
+
+def _rules(section: AttemptSection, sets: tuple[str, ...]) -> list[Rule]:
     keys = section.keys
-    values = {key: value for key in SETS if (value := getattr(keys, key)) is not None}
-    return Rule(When(keys.type, keys.prefix, keys.region), values, section.name)
+    values = {key: value for key in sets if (value := getattr(keys, key)) is not None}
+    if not values:
+        return []
+    return [
+        Rule(When(keys.type, prefix, keys.region, keys.trunk_group, keys.server_set), values, section.name)
+        for prefix in keys.prefix
+    ]
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -19,7 +19,7 @@
 import trio
 
 from valverouter.attempts.guard import Guard
-from valverouter.control import HEARTBEAT, retry_wait
+from valverouter.control import HEARTBEAT, OWN_BUDGET, retry_wait
 from valverouter.driver import Driver
 from valverouter.edge.attempting import AttemptBook
 from valverouter.edge.clock import Alarms, Clock
@@ -60,7 +60,7 @@
 from valverouter.signalling.framing import ProtocolError
 from valverouter.signalling.greeting import Welcome
 from valverouter.terms.edge import EdgeTerms
-from valverouter.terms.ini import FlawedTermsError
+from valverouter.terms.ini import END, FlawedTermsError
 
 # A turn that comes so much later than the next beat was due shows that this process did not run.
 STALL_SHOWS = HEARTBEAT + 50_000_000
@@ -142,6 +142,7 @@
         self._former: EdgeTerms | None = None
         self.crossing = Crossing(terms.crossing, self._clock.now()) if terms.crossing else None
         self._driver = Driver(terms.deployment, terms.seed, self._clock.now(), self.crossing)
+        self._tell_budgets()
         self._list = ListLink(terms, surroundings, self._inbox, self._clock, self._wait)
         self._draws = 0
         self._last_failure = ""
@@ -199,7 +200,11 @@
 
     def _reload(self, event: Reload, back: bool = False) -> None:
         new, old = event.terms, self.terms
-        keeps = msgspec.structs.replace(old, crossing=new.crossing, attempts=new.attempts)
+        if old.ends and not new.ends:
+            # A file cut off at a line's end may pass every check, with half of its sections.
+            self._log.error("reload-refused", why=f"the file was cut off: its last line is not {END!r}")
+            return
+        keeps = msgspec.structs.replace(old, crossing=new.crossing, attempts=new.attempts, ends=new.ends)
         changes = [name for name in old.__struct_fields__ if getattr(keeps, name) != getattr(new, name)]
         try:
             # Dialogs under way carry the attempt terms that they began with; the book is for those to come.
@@ -210,6 +215,7 @@
             self._log.error("reload-refused", why=str(error))
             return
         self._attempts, self.terms = attempts, keeps
+        self._tell_budgets()
         self._former = None if back else old
         self.generation += 1
         self._guard.changed(self._now, watch=not back)
@@ -217,6 +223,13 @@
             changes.append("crossing")
         self._log.info("reloaded", generation=self.generation, waits_for_a_start=changes)
 
+    def _tell_budgets(self) -> None:
+        book = self._attempts
+        if book is None:
+            self._guarded("", self._driver.budgets, {}, OWN_BUDGET)
+        else:
+            self._guarded("", self._driver.budgets, book.budgets(), book.budget_elsewhere())
+
     def _judge(self, taken: Taken, declined: bool) -> None:
         """Tells the guard of a final answer; where a change harms, says so, and goes back if the terms
         allow."""
@@ -377,6 +390,13 @@
         if left <= 0:
             self._answer(taken, setup.Aborted(asked.dialog, asked.leg, "no-time"))
             return
+        attempts = None
+        if self._attempts is not None:
+            attempts = self._attempts.of(
+                asked.traffic_type, asked.called_number, caller.name, asked.first_choice
+            )
+            if attempts is not None and attempts.no_answer:
+                left = min(left, attempts.no_answer)
         dialog = Dialog(
             id=asked.dialog,
             traffic_type=asked.traffic_type,
@@ -384,7 +404,7 @@
             first_choice=asked.first_choice,
             called_number=asked.called_number,
             was_cut=asked.was_cut,
-            attempts=self._attempts.of(asked.traffic_type, asked.called_number) if self._attempts else None,
+            attempts=attempts,
         )
         self._guarded(asked.dialog, self._driver.dialog, dialog)
 
--- a/valverouter/interface.py
+++ b/valverouter/interface.py
@@ -70,7 +70,9 @@
 class AttemptTerms:
     """One dialog's terms for its legs and waits; spans in whole nanoseconds.
 
-    `leg_time_out` 0: a leg may last to the no-answer time. `asked_wait_most` only bounds what is reckoned.
+    `no_answer`, `leg_time_out`, `come_back` and `legs_in_all` 0: the caller's own, to the no-answer time, the
+    decisions' own, the fleet's. `legs` are attempts, the first among them; `legs_in_all` counts also those
+    that went on at once from a server without a free agent. `asked_wait_most` only bounds what is reckoned.
     """
 
     legs: int
@@ -81,6 +83,19 @@
     retry_cap: int
     leg_time_out: int = 0
     asked_wait_most: int = 0
+    come_back: int = 0
+    legs_in_all: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetTerms:
+    """A far server's retry budget in thousandths of a token: its full count, and what a stand adds.
+
+    The source bounds both: 10 tokens or fewer, a fraction under a half. The threshold is no term.
+    """
+
+    full: int
+    adds: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/valverouter/terms/edge.py
+++ b/valverouter/terms/edge.py
@@ -5,14 +5,29 @@
 from pathlib import Path
 from typing import Annotated
 
+import trio
 from msgspec import Meta, Struct
 
 from valverouter.interface import CrossingTerms, Deployment, TrafficType
-from valverouter.terms.attempts import AttemptSection, attempt_sections
+from valverouter.terms.attempts import AttemptSections, attempt_sections
 from valverouter.terms.crossing import crossing_terms
-from valverouter.terms.ini import IniFile, LongSpan, Named, Numbers, Positive, Rate, Span, Whole
+from valverouter.terms.ini import (
+    FlawedTermsError,
+    IniFile,
+    LongSpan,
+    Named,
+    Numbers,
+    Positive,
+    Rate,
+    Span,
+    Whole,
+)
 
 MS, SECOND = 10**6, 10**9
+# Between two readings of a file at reload.
+SETTLES = 100 * MS
+
+ATTEMPTS = ("attempts", "trunk-group", "server-set")
 
 Legs = Annotated[int, Meta(ge=1, le=6)]
 
@@ -78,7 +93,8 @@
     """All that one edge proxy is told at its start.
 
     `answer_margin` is taken off every dialog's no-answer time before the decisions see it, so that an answer
-    given at the last moment still travels in time. Spans are whole nanoseconds.
+    given at the last moment still travels in time. Spans are whole nanoseconds. `ends`: the file says where
+    it ends, so that one read half written is told from a short one.
     """
 
     name: str
@@ -94,13 +110,14 @@
     log: Log
     crossing: CrossingTerms | None = None
     accounts: str = ""
-    attempts: tuple[AttemptSection, ...] = ()
+    attempts: AttemptSections = AttemptSections()
+    ends: bool = False
     returns: bool = False
 
 
 def edge_terms(ini: IniFile) -> EdgeTerms:
     """The edge's terms; raises FlawedTermsError with every flaw of the file."""
-    ini.only(("edge", "fleet", "links", "log", "crossing"), ("traffic", "region", "crossing", "attempts"))
+    ini.only(("edge", "fleet", "links", "log", "crossing"), ("traffic", "region", "crossing", *ATTEMPTS))
     edge = ini.read("edge", _Edge)
     fleet = ini.read("fleet", Fleet)
     links = ini.read("links", Links, required=False)
@@ -135,6 +152,7 @@
         accounts=edge.accounts,
         attempts=attempts,
         returns=edge.returns,
+        ends=ini.ends,
     )
 
 
@@ -178,6 +196,21 @@
     return edge_terms(IniFile.load(path))
 
 
+async def load_settled(path: Path, again: int = SETTLES, tries: int = 20) -> EdgeTerms:
+    """The terms of a file that may be in the middle of being written: read until two readings agree.
+
+    `again`: between readings, ns. Raises FlawedTermsError as `edge_terms` does, or where it never settles.
+    """
+    before, now = None, IniFile.load(path)
+    for _ in range(tries):
+        await trio.sleep(again / SECOND)
+        before, now = now, IniFile.load(path)
+        if before.text == now.text:
+            return edge_terms(now)
+    now.flaw("", "", f"still being written after {tries} readings", 0)
+    raise FlawedTermsError(now.flaws)
+
+
 def _address(text: str) -> bool:
     host, colon, port = text.rpartition(":")
     return bool(host and colon) and port.isdigit() and int(port) < 65_536
--- a/valverouter/terms/ini.py
+++ b/valverouter/terms/ini.py
@@ -17,8 +17,11 @@
 import msgspec
 from msgspec import Meta, Struct
 
-UNITS = {"ns": 1, "us": 1_000, "ms": 10**6, "s": 10**9, "min": 60 * 10**9, "h": 3_600 * 10**9}
-SPAN = re.compile(r"(\d+(?:\.\d+)?)\s*([a-zA-Z]+)?")
+from valverouter.terms.grammar import SHOWN, UNITS, reader
+
+READERS = {start: reader(start) for start in SHOWN}
+# The last line of a file that says where it ends: what is read without it was cut off.
+END = "# end of terms"
 
 Span = Annotated[int, Meta(ge=0, extra={"as": "span"})]
 LongSpan = Annotated[int, Meta(gt=0, extra={"as": "span"})]
@@ -28,6 +31,7 @@
 Whole = Annotated[int, Meta(ge=0)]
 Positive = Annotated[int, Meta(ge=1)]
 Rate = Annotated[float, Meta(gt=0)]
+PerSecond = Annotated[float, Meta(gt=0, extra={"as": "rate"})]
 Named = Annotated[str, Meta(min_length=1)]
 
 YES, NO = ("yes", "true", "on", "1"), ("no", "false", "off", "0")
@@ -60,17 +64,7 @@
 
 def span(text: str) -> int:
     """A span as whole nanoseconds; ValueError says what would be accepted."""
-    found = SPAN.fullmatch(text.strip())
-    if found is None or (found[2] is None and found[1].strip("0.")):
-        raise ValueError(f"{text!r} is no span: a number and one of {', '.join(UNITS)}, as in 300ms")
-    if found[2] is None:
-        return 0
-    if found[2] not in UNITS:
-        raise ValueError(f"unknown unit {found[2]!r}: {', '.join(UNITS)} are known")
-    exact = Decimal(found[1]) * UNITS[found[2]]
-    if exact != int(exact):
-        raise ValueError(f"{text!r} is not a whole number of nanoseconds")
-    return int(exact)
+    return int(READERS["span"](text.strip()))
 
 
 def show_span(ns: int) -> str:
@@ -88,6 +82,8 @@
         self.name = name
         self.flaws: list[Flaw] = []
         self.sections: dict[str, dict[str, str]] = {}
+        self.text = text
+        self.ends = text.rstrip().endswith(END)
         self._lines: dict[tuple[str, str], int] = {}
         parser = configparser.ConfigParser(
             interpolation=None, strict=True, default_section="\0", inline_comment_prefixes=("#", ";")
@@ -172,8 +168,8 @@
     given = typing.get_args(kind)[0] if type(None) in typing.get_args(kind) else kind
     meant = next((m.extra["as"] for m in getattr(given, "__metadata__", ()) if m.extra), None)
     value: Any = text
-    if meant == "span":
-        value = span(text)
+    if meant in READERS:
+        value = READERS[meant](text.strip())
     elif meant == "words":
         value = tuple(word for word in (part.strip() for part in text.split(",")) if word)
     elif kind is bool:
