--- /dev/null
+++ b/tests/test_experiments.py
@@ -0,0 +1,168 @@
+"""Experiments: plans, kept runs, paired differences, variants that act from outside the module alone."""
+
+from __future__ import annotations
+
+import math
+import random
+from contextlib import closing
+from pathlib import Path
+
+import pytest
+
+from tests.test_days import valverouter
+from valverouter import control
+from valverouter.experiments.compare import interval, paired
+from valverouter.experiments.figures import by_second, figures, worst
+from valverouter.experiments.plan import changed, plan
+from valverouter.experiments.report import gathered, page
+from valverouter.experiments.runner import Store, play, run_all
+from valverouter.experiments.variants import BASELINES, VARIANTS
+from valverouter.signalling.tap import Passed, Row, Terms
+from valverouter.terms.ini import FlawedTermsError
+
+SECOND = 10**9
+DEPLOY = Path(__file__).parent.parent / "deploy"
+
+PLAN = """
+[experiment]
+day = day.ini
+seeds = 1-3
+baseline = decisions = module
+[factor edges]
+set = fleet.edge_proxies, region north.edges
+levels = 1, 2
+[factor decisions]
+set = decisions
+levels = module, any-server
+"""
+
+
+@pytest.fixture
+def small(tmp_path: Path) -> Path:
+    day = (DEPLOY / "experiments" / "size-day.ini").read_text()
+    day = day.replace("length = 24s", "length = 3s").replace("rate = 310", "rate = 95")
+    day = day[: day.index("[trouble ")].replace("servers = 12", "servers = 3")
+    (tmp_path / "day.ini").write_text(
+        day + "[trouble slow]\nkind = slow\nstart = 1s\nlength = 1s\nsize = 3\n"
+    )
+    (tmp_path / "try.ini").write_text(PLAN)
+    return tmp_path / "try.ini"
+
+
+def test_a_plan_stands_for_every_combination_and_seed(small: Path) -> None:
+    runs = list(plan(small).runs())
+    assert len(runs) == 12 and len({run.key for run in runs}) == 12
+    assert [run.levels for run in runs[::3]] == [
+        {"edges": edges, "decisions": decisions} for edges in "12" for decisions in ("module", "any-server")
+    ]
+    played = runs[-1].played()
+    assert (played.fleet.edge_proxies, played.terms.seed) == (2, 3)
+
+
+@pytest.mark.parametrize(
+    "old, new, said",
+    [
+        ("day = day.ini", "day = none.ini", "No such file"),
+        ("levels = module, any-server", "levels = module, best", "'best': known are module"),
+        ("baseline = decisions = module", "baseline = decisions = best", "FACTOR = LEVEL"),
+        ("baseline = decisions = module", "baseline = size = 1", "FACTOR = LEVEL"),
+        ("set = fleet.edge_proxies, region north.edges", "set = edges", "SECTION.KEY"),
+        ("levels = 1, 2", "levels = 0, 2", "edge_proxies"),
+        ("set = fleet.edge_proxies, region north.edges", "set = fleet.edge_proxies", "sum of `edges`"),
+        ("seeds = 1-3", "seeds =", "seeds"),
+        ("[factor edges]", "[factors edges]", "unknown section"),
+    ],
+)
+def test_a_flawed_plan_is_refused_before_any_run(small: Path, old: str, new: str, said: str) -> None:
+    small.write_text(PLAN.replace(old, new))
+    with pytest.raises(FlawedTermsError, match=said.replace("[", r"\[")):
+        plan(small)
+
+
+def test_runs_are_kept_and_not_played_again(small: Path, tmp_path: Path) -> None:
+    made, told = plan(small), list[tuple[int, int]]()
+    first = [run for run in made.runs() if run.seed == 1]
+    assert run_all(first, tmp_path / "runs.db", 2) == 4
+    assert run_all(made.runs(), tmp_path / "runs.db", 2, lambda *counts: told.append(counts)) == 8
+    assert told[0] == (4, 12) and told[-1] == (12, 12), "cut off, it goes on where it was"
+    assert run_all(made.runs(), tmp_path / "runs.db", 2) == 0
+    with closing(Store(tmp_path / "runs.db")) as store:
+        cells = gathered(made, store)
+        again = play(first[0])
+        kept = store.figures(first[0])
+    assert kept is not None
+    assert {key: value for key, value in kept.items() if key != "cpu"} == {
+        key: value for key, value in again.items() if key != "cpu"
+    }, "the same run gives the same figures in any process"
+    assert len(cells) == 4 and all(len(cell.by_seed) == 3 for cell in cells.values())
+    html = page(made, cells, "service")
+    assert "<svg" in html and "any-server" in html and "src=" not in html
+    shown = valverouter("experiment", "report", str(small), "--store", str(tmp_path / "runs.db"))
+    assert shown.returncode == 0 and "any-server" in shown.stdout
+
+
+def test_differences_are_by_pairs_and_say_what_could_be_told() -> None:
+    chance = random.Random(5)
+    base = {seed: chance.gauss(0.8, 0.1) for seed in range(12)}  # the days differ far more than the variants
+    better = {seed: value + chance.gauss(0.02, 0.01) for seed, value in base.items()}
+    found = paired(base, better)
+    assert found.shown and found.mean == pytest.approx(0.02, abs=0.01) and found.pairs == 12
+    assert found.half < found.least < 0.02 < interval(list(base.values()))[1]
+    assert not paired(base, {seed: value + chance.gauss(0, 0.05) for seed, value in base.items()}).shown
+    with pytest.raises(ValueError, match="1 pairs"):
+        paired({1: 0.5}, {1: 0.6, 2: 0.7})
+    assert interval([0.5]) == (0.5, math.inf)
+
+
+def test_intervals_cover_what_they_say() -> None:
+    chance, covered = random.Random(9), 0
+    for _ in range(400):
+        mean, half = interval([chance.gauss(0, 1) for _ in range(6)])
+        covered += abs(mean) <= half
+    assert 0.92 <= covered / 400 <= 0.98
+
+
+def test_variants_act_for_a_run_and_leave_the_module_as_it_was(small: Path) -> None:
+    before = {name: getattr(control, name) for name in dir(control) if name.isupper()}
+    waits = control.retry_wait
+    with VARIANTS["fixed-waits"].acts():
+        assert control.retry_wait(3, 0.0, 0) == control.RETRY_BASE
+    with VARIANTS["without-window"].acts():
+        assert control.WINDOW_FIRST > 1e6
+    assert {name: getattr(control, name) for name in dir(control) if name.isupper()} == before
+    assert control.retry_wait is waits
+
+
+@pytest.mark.parametrize("name", VARIANTS)
+def test_every_variant_plays_a_day_and_differs_where_it_should(small: Path, name: str) -> None:
+    made = plan(small)
+    run = made.run({"edges": "2", "decisions": "module"}, 1)
+    found = play(type(run)({"decisions": name}, run.seed, run.text))
+    assert 0 < found["service"] <= 1 and found["legs"] > 0.3
+    if name in BASELINES:
+        assert found != play(run) | {"cpu": found["cpu"]}
+
+
+def said(at: int, sent: bool, kind: str, dialog: str, word: str = "") -> Passed:
+    return Passed(at, at * SECOND // 10, "e0", "c0", sent, kind, dialog, 0, 0, word)
+
+
+def test_the_worst_ten_seconds_are_those_in_which_dialogs_were_first_dialled() -> None:
+    rows: list[Row] = [Terms(0, 0, 0, 0, {"plain": SECOND}, {"plain": 1.0})]
+    for at in range(0, 300):
+        rows.append(said(at, True, "setup", f"d{at}", "plain"))
+        if not 100 <= at < 150:
+            rows.append(said(at + 1, False, "stands", f"d{at}"))
+    rows.append(said(320, True, "setup", "d120.2", "plain"))
+    rows.append(said(321, False, "stands", "d120.2"))
+    terms = rows[0]
+    assert isinstance(terms, Terms)
+    assert worst(rows, terms) == pytest.approx(0.5)
+    assert by_second(rows, terms)[10] == (10, 0) and by_second(rows, terms)[3] == (10, 10)
+    assert figures(rows)["tries"] == pytest.approx(301 / 300)
+
+
+def test_a_changed_day_keeps_what_was_not_named() -> None:
+    text = changed("[day]\nlength = 3s\n[fleet]\nedge_proxies = 1\n", [("fleet", "edge_proxies", "4")])
+    assert "edge_proxies = 4" in text and "length = 3s" in text
+    assert "[list]\nnotice = 1s" in changed(text, [("list", "notice", "1s")])
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,118 @@
+"""The load tool: the search for the highest rate, delays from when due, and a short real run on sockets."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from tests.test_days import valverouter
+from valverouter.load.drive import LoadFailedError, drive, mixed
+from valverouter.load.measure import Sample, highest
+from valverouter.signalling import setup
+from valverouter.signalling.greeting import Hello, Welcome
+from valverouter.terms.day import load_day
+
+MS, SECOND = 10**6, 10**9
+LOAD = Path(__file__).parent.parent / "deploy" / "days" / "load.ini"
+
+
+@pytest.mark.parametrize("limit", [19, 20, 21, 55, 333, 4_000, 10**6])
+async def test_the_highest_rate_is_found_to_a_twentieth(limit: int, autojump_clock: MockClock) -> None:
+    asked = []
+
+    async def holds(rate: float) -> bool:
+        asked.append(rate)
+        return rate <= limit
+
+    found = await highest(holds, 20, 10_000)
+    if limit < 20:
+        assert found == 0 and asked == [20]
+    elif limit >= 10_000:
+        assert found == 10_000
+    else:
+        assert limit / 1.06 <= found <= limit
+    assert len(asked) < 25
+
+
+async def test_a_rate_that_held_by_chance_is_lowered_until_it_holds_again(autojump_clock: MockClock) -> None:
+    chance = random.Random(3)
+
+    async def holds(rate: float) -> bool:
+        return rate < 500 or (rate < 1_000 and chance.random() < 0.3)
+
+    found = [await highest(holds, 20, 10_000) for _ in range(30)]
+    assert all(400 <= rate < 1_000 for rate in found) and sorted(found)[15] < 700
+
+
+def test_delays_count_from_when_a_dialog_was_due_and_what_never_stood_holds_nothing() -> None:
+    sample = Sample(10, offered=100)
+    for at in range(99):
+        sample.stands(at * 10 * MS, at * 10 * MS + (5 if at < 98 else 900) * MS)
+    assert sample.stood == 99 and sample.at(50) == pytest.approx(5, rel=0.01)
+    assert sample.at(99.9) == pytest.approx(900, rel=0.01)
+    assert sample.holds(100 * MS, 0.98) and not sample.holds(100 * MS, 0.99)
+    assert sample.holds(SECOND, 0.99) and not Sample(1).holds(SECOND, 0.5)
+
+
+def test_types_come_by_their_shares() -> None:
+    day = load_day(LOAD.parent / "bad-day.ini")
+    kinds = [mixed(day, at)[0] for at in range(1_000)]
+    total = sum(mix.share for mix in day.mix.values())
+    for kind, mix in day.mix.items():
+        assert kinds.count(kind) / 1_000 == pytest.approx(mix.share / total, abs=0.01)
+
+
+async def test_a_held_up_target_shows_in_the_delays_of_those_behind_it() -> None:
+    """The target reads nothing for 300 ms: all that were due meanwhile waited, though dialled in one go."""
+    day = load_day(LOAD)
+
+    async def serve(stream: trio.SocketStream) -> None:
+        session, held = setup.SetupSession(), False
+        while data := await stream.receive_some(65_536):
+            for message in session.receive(data):
+                if isinstance(message, Hello):
+                    await stream.send_all(session.send(Welcome(1, "slow")))
+                elif isinstance(message, setup.Setup):
+                    if not held and message.dialog.endswith("-20"):
+                        held = True
+                        await trio.sleep(0.3)
+                    await stream.send_all(session.send(setup.Stands(message.dialog)))
+                elif isinstance(message, setup.Release):
+                    await stream.send_all(session.send(setup.Ended(message.dialog)))
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        sample = await drive(f"127.0.0.1:{port}", day, 100, 1.0)
+        nursery.cancel_scope.cancel()
+    assert (sample.offered, sample.stood, sample.unanswered) == (100, 100, 0)
+    assert sample.at(99.9) >= 295
+    assert sample.at(90) > 100, "a quarter of the dialogs was due while the target was held up"
+
+
+async def test_a_target_that_goes_away_fails_the_run() -> None:
+    async def serve(stream: trio.SocketStream) -> None:
+        await stream.receive_some(10)
+        await stream.aclose()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        with pytest.raises(ExceptionGroup) as caught:
+            await drive(f"127.0.0.1:{port}", load_day(LOAD), 100, 1.0)
+        assert caught.group_contains(LoadFailedError)
+        nursery.cancel_scope.cancel()
+
+
+def test_a_real_edge_proxy_answers_all_that_is_offered(tmp_path: Path) -> None:
+    kept = tmp_path / "delays.txt"
+    ran = valverouter("load", str(LOAD), "--rate", "60", "--seconds", "1", "--histogram", str(kept))
+    assert ran.returncode == 0, ran.stderr
+    assert "60/s: 60 offered" in ran.stdout and "0 unanswered" in ran.stdout
+    assert "Percentile" in kept.read_text()
--- /dev/null
+++ b/tests/test_search.py
@@ -0,0 +1,104 @@
+"""The search for bad days: every candidate is a day, a planted worst is found and cut down."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from valverouter.audit.rules import audit
+from valverouter.days.emulated import run_emulated
+from valverouter.experiments.search import (
+    Candidate,
+    Judge,
+    Search,
+    Struck,
+    candidate,
+    cut_down,
+    found_file,
+    load_search,
+    search,
+    smaller,
+)
+from valverouter.terms.day import KINDS, day
+from valverouter.terms.ini import FlawedTermsError, IniFile
+
+SECOND = 10**9
+FILE = Path(__file__).parent.parent / "deploy" / "experiments" / "worst-day.ini"
+EVERY = Search(day="-", kinds=tuple(KINDS), troubles=3)
+_, BASE, TEXT = load_search(FILE)
+
+
+@given(st.lists(st.floats(0, 1), min_size=19, max_size=19))
+def test_every_vector_is_a_day_that_passes_all_checks(genes: list[float]) -> None:
+    made = candidate(EVERY, BASE, genes)
+    played = day(IniFile(made.text(TEXT, 100.0), "made"), "made")
+    assert len(played.troubles) == len(made.troubles) >= 1
+    for trouble in played.troubles.values():
+        assert trouble.start + trouble.length <= played.terms.length
+
+
+def planted(one: Candidate) -> float:
+    """As if a slow server in a crowd were what hurts; a hang makes it a little worse."""
+    kinds = {trouble.kind: trouble for trouble in one.troubles}
+    slow = kinds.get("slow")
+    if slow is None:
+        return 0.0
+    return one.rate * min(slow.size, 4) * min(slow.length, 3 * SECOND) / SECOND + 0.1 * ("hang" in kinds)
+
+
+def test_a_planted_worst_day_is_found_and_cut_down_to_what_shows_it() -> None:
+    terms = Search(day="-", budget=600, troubles=2, kinds=("crash", "slow", "hang", "burst"))
+    found, score, judged = search(terms, BASE, planted)
+    assert score > 0.9 * 1.5 * 4 * 3 and judged <= 700
+    assert search(terms, BASE, planted)[0] == found, "the same seed finds the same day"
+    least, kept = cut_down(found, planted, 0.5 * score, 300)
+    assert [trouble.kind for trouble in least.troubles] == ["slow"] and kept >= 0.5 * score
+    assert least.length < found.length and least.troubles[0].start <= SECOND
+    assert all(planted(one) < 0.5 * score for one in smaller(least)), "nothing simpler shows it"
+
+
+def test_cutting_down_keeps_to_its_budget() -> None:
+    calls = []
+
+    def judge(one: Candidate) -> float:
+        calls.append(one)
+        return 1.0
+
+    many = Candidate(
+        1.4, 24 * SECOND, tuple(Struck("slow", 9 * SECOND, 8 * SECOND, 6.0, 0.3) for _ in range(3))
+    )
+    cut_down(many, judge, 0.5, 4)
+    assert len(calls) == 4
+
+
+def test_what_is_found_is_a_file_that_runs(tmp_path: Path) -> None:
+    small = TEXT.replace("edge_proxies = 64", "edge_proxies = 4").replace("edges = 64", "edges = 4")
+    one = Candidate(0.3, 4 * SECOND, (Struck("slow", SECOND, 2 * SECOND, 4.0, 0.3),))
+    path = tmp_path / "found.ini"
+    path.write_text(found_file(one, small, 100.0, "Found: +0.100"))
+    played = day(IniFile.load(path), "found")
+    assert path.read_text().startswith("# Found") and audit(run_emulated(played).rows).kept
+    judge = Judge(Search(day="-", against=("any-server",)), small, 100.0)
+    assert -1 <= judge(one) <= 1
+    rules = Judge(Search(day="-", seeks="rules"), small, 100.0)
+    assert 0 <= rules(one) < 1, "no rule is broken"
+
+
+@pytest.mark.parametrize(
+    "old, new, said",
+    [
+        ("seeks = loss", "seeks = gain", "seeks"),
+        ("kinds = crash", "kinds = cash", "'cash' is not known"),
+        ("against = two-drawn", "against = best", "'best': known are"),
+        ("day = size-day.ini", "day = none.ini", "No such file"),
+        ("troubles = 3", "troubles = 9", "<= 6"),
+    ],
+)
+def test_a_flawed_search_is_refused(tmp_path: Path, old: str, new: str, said: str) -> None:
+    (tmp_path / "size-day.ini").write_text((FILE.parent / "size-day.ini").read_text())
+    (tmp_path / "search.ini").write_text(FILE.read_text().replace(old, new))
+    with pytest.raises(FlawedTermsError, match=said):
+        load_search(tmp_path / "search.ini")
--- a/valverouter/cli/__main__.py
+++ b/valverouter/cli/__main__.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 from collections.abc import Callable
+from contextlib import closing
 from pathlib import Path
 
 import click
@@ -32,6 +33,9 @@
 from valverouter.edge.attempting import AttemptBook
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import Sockets, long_lived
+from valverouter.experiments.plan import plan
+from valverouter.experiments.report import gathered, page
+from valverouter.experiments.runner import Store, run_all
 from valverouter.regions.accounts import by_minute, merged, missing
 from valverouter.regions.crossing import Crossing
 from valverouter.signalling import tap
@@ -320,6 +324,101 @@
         )
 
 
+@main.command()
+@click.argument("file", type=FILE)
+@click.option("--rate", "rates", type=float, multiple=True, help="Dialogs a second; several: one run each.")
+@click.option("--seconds", default=5.0, show_default=True, help="How long each run dials.")
+@click.option("--find", is_flag=True, help="Find the highest rate that holds the objective.")
+@click.option("--share", default=0.99, show_default=True, help="Of those offered that must stand in it.")
+@click.option("--most", default=20_000.0, show_default=True, help="The highest rate that is tried.")
+@click.option("--against", type=FILE, help="Another day's file: runs of the two alternate.")
+@click.option("--rounds", default=3, show_default=True, help="Runs of each, where two are compared.")
+@click.option("--histogram", type=FILE, help="Keep the last run's delays here, as HdrHistogram text.")
+def load(
+    file: Path,
+    rates: tuple[float, ...],
+    seconds: float,
+    find: bool,
+    share: float,
+    most: float,
+    against: Path | None,
+    rounds: int,
+    histogram: Path | None,
+) -> None:
+    """Drive a real edge proxy of the day in FILE open-loop on loopback; delays from when each was due."""
+    from valverouter.cli import loads
+
+    if against is not None:
+        trio.run(loads.against, console, (file, against), rates or (100.0,), seconds, rounds)
+    elif find:
+        trio.run(loads.find, console, file, seconds, share, most)
+    else:
+        trio.run(loads.at_rates, console, file, rates or (100.0,), seconds, histogram)
+
+
+@main.group()
+def experiment() -> None:
+    """Factors, levels and seeds on the emulator, kept and compared."""
+
+
+STORE = click.option("--store", type=FILE, default=Path("runs.db"), show_default=True, help="The kept runs.")
+
+
+@experiment.command("run")
+@click.argument("file", type=FILE)
+@STORE
+@click.option("--jobs", default=4, show_default=True, help="Processes at once.")
+def experiment_run(file: Path, store: Path, jobs: int) -> None:
+    """Play the runs of FILE that are not kept yet; cut off, it goes on where it was."""
+    made = plan(file)
+    bars = Progress(TextColumn("{task.description}"), BarColumn(), TimeElapsedColumn(), console=console)
+    with bars:
+        task = bars.add_task(made.name)
+        played = run_all(
+            made.runs(), store, jobs, lambda done, every: bars.update(task, completed=done, total=every)
+        )
+    console.print(f"{played} runs played, the others were kept", highlight=False)
+
+
+@experiment.command("report")
+@click.argument("file", type=FILE)
+@STORE
+@click.option("--figure", default="service", show_default=True, help="Which figure is compared.")
+@click.option("--html", type=FILE, help="A page with charts in this file too.")
+def experiment_report(file: Path, store: Path, figure: str, html: Path | None) -> None:
+    """Means with their intervals, and paired differences from the baseline, of the kept runs of FILE."""
+    made = plan(file)
+    with closing(Store(store)) as kept:
+        cells = gathered(made, kept)
+    if not cells:
+        raise ValueError(f"{store}: no run of {file} is kept there; experiment run comes first")
+    tables.print_cells(console, cells, made.baseline, figure)
+    if html is not None:
+        html.write_text(page(made, cells, figure))
+
+
+@experiment.command("search")
+@click.argument("file", type=FILE)
+@click.option("--out", type=FILE, required=True, help="The day that was found goes here.")
+@click.option("--jobs", default=4, show_default=True, help="Processes at once.")
+def experiment_search(file: Path, out: Path, jobs: int) -> None:
+    """Seek the day on which the module loses most, or comes nearest to a broken rule, and cut it down."""
+    from valverouter.experiments.search import Judge, cut_down, found_file, load_search
+    from valverouter.experiments.search import search as seek
+
+    terms_, base, text = load_search(file)
+    judge = Judge(terms_, text, base.callers.rate)
+    found, score, judged = seek(terms_, base, judge, jobs)
+    console.print(f"{judged} days judged; the worst scores {score:+.3f}", highlight=False)
+    least, kept = cut_down(found, judge, 0.8 * score, terms_.budget // 2)
+    said = (
+        f"Found by a search for {terms_.seeks}: {kept:+.3f}, seed {terms_.seed}; cut down from {score:+.3f}."
+    )
+    out.write_text(found_file(least, text, base.callers.rate, said), "utf-8")
+    kinds = ", ".join(trouble.kind for trouble in least.troubles)
+    console.print(f"cut down to {kinds}: {kept:+.3f}; {out}", highlight=False, soft_wrap=True)
+
+
 @main.group()
 def regions() -> None:
     """What crossed from region to region, and what had better."""
--- a/valverouter/cli/tables.py
+++ b/valverouter/cli/tables.py
@@ -9,6 +9,8 @@
 from valverouter.attempts.courses import Course
 from valverouter.audit.account import Account, service
 from valverouter.audit.rules import Verdict
+from valverouter.experiments.compare import interval, paired
+from valverouter.experiments.report import Cell, baseline_of
 from valverouter.regions.accounts import COUNTS, Line, Tally
 from valverouter.regions.planner import Plan
 from valverouter.terms.ini import show_span
@@ -109,3 +111,27 @@
         at = show_span(course.answered_at)
         console.print(f"{kind:20} {bar:{wide}} {at}, {course.legs} legs", highlight=False, soft_wrap=True)
     console.print(f"{'':20} 0{show_span(within):>{wide - 1}}   █ a leg, ░ a wait", highlight=False)
+
+
+def print_cells(
+    console: Console, cells: dict[tuple[str, ...], Cell], baseline: dict[str, str], figure: str
+) -> None:
+    """One line for each combination of levels: mean, interval, paired difference from the baseline."""
+    table = Table(title=f"{figure}: mean and 95% interval; difference from the baseline by pairs of a seed")
+    for head in (*next(iter(cells.values())).levels, "runs", figure, "difference", "least that would show"):
+        table.add_column(head)
+    for cell in cells.values():
+        mean, half = interval([found[figure] for found in cell.by_seed.values()])
+        row = [*cell.levels.values(), str(len(cell.by_seed)), f"{mean:.3f} ± {half:.3f}"]
+        base = baseline_of(cells, cell, baseline)
+        if base is None or base is cell or min(len(base.by_seed), len(cell.by_seed)) < 2:
+            row += ["", ""]
+        else:
+            found = paired(
+                {seed: one[figure] for seed, one in base.by_seed.items()},
+                {seed: one[figure] for seed, one in cell.by_seed.items()},
+            )
+            sure = "" if found.shown else " (not shown)"
+            row += [f"{found.mean:+.3f} ± {found.half:.3f}{sure}", f"{found.least:.3f}"]
+        table.add_row(*row)
+    console.print(table)
