--- /dev/null
+++ b/benchmarks/variant_on_the_wire.py
@@ -0,0 +1,22 @@
+"""The simulator's adapter with a variant of the decisions, to order variants there as on the emulator.
+
+python benchmarks/variant_on_the_wire.py NAME [KEY=VALUE ...]
+"""
+
+from __future__ import annotations
+
+import sys
+from unittest.mock import patch
+
+from valverouter.experiments.variants import variant
+from valverouter.wirehost import __main__ as wirehost
+
+
+def main() -> None:
+    decisions = variant(" ".join(sys.argv[1:]))
+    with decisions.acts(), patch.object(wirehost, "Driver", decisions.build):
+        sys.exit(wirehost.main(sys.stdin.buffer, sys.stdout.buffer))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -16,7 +16,7 @@
 from valverouter.experiments.plan import changed, plan
 from valverouter.experiments.report import gathered, page
 from valverouter.experiments.runner import Store, play, run_all
-from valverouter.experiments.variants import BASELINES, VARIANTS
+from valverouter.experiments.variants import BASELINES, VARIANTS, variant
 from valverouter.signalling.tap import Passed, Row, Terms
 from valverouter.terms.ini import FlawedTermsError
 
@@ -166,3 +166,25 @@
     text = changed("[day]\nlength = 3s\n[fleet]\nedge_proxies = 1\n", [("fleet", "edge_proxies", "4")])
     assert "edge_proxies = 4" in text and "length = 3s" in text
     assert "[list]\nnotice = 1s" in changed(text, [("list", "notice", "1s")])
+
+
+def test_a_level_may_set_figures_of_the_decisions() -> None:
+    made = variant("without-room NEWS_FADES_TURNS=2 WINDOW_LEAST=0.5")
+    assert made.rule is VARIANTS["without-room"].rule
+    with made.acts():
+        assert (control.NEWS_FADES_TURNS, control.WINDOW_LEAST) == (2, 0.5)
+    assert control.NEWS_FADES_TURNS == 4
+
+
+@pytest.mark.parametrize(
+    "level, said",
+    [
+        ("best", "known are"),
+        ("module NEWS=2", "no figure"),
+        ("module LEGS=many", "LEGS is int"),
+        ("module Far=1", "no"),
+    ],
+)
+def test_a_level_that_sets_what_is_not_there_is_refused(level: str, said: str) -> None:
+    with pytest.raises(ValueError, match=said):
+        variant(level)
--- a/valverouter/cli/__main__.py
+++ b/valverouter/cli/__main__.py
@@ -410,7 +410,7 @@
     judge = Judge(terms_, text, base.callers.rate)
     found, score, judged = seek(terms_, base, judge, jobs)
     console.print(f"{judged} days judged; the worst scores {score:+.3f}", highlight=False)
-    least, kept = cut_down(found, judge, 0.8 * score, terms_.budget // 2)
+    least, kept = cut_down(found, judge, 0.8 * score, terms_.budget // 4)
     said = (
         f"Found by a search for {terms_.seeks}: {kept:+.3f}, seed {terms_.seed}; cut down from {score:+.3f}."
     )
--- a/valverouter/experiments/plan.py
+++ b/valverouter/experiments/plan.py
@@ -14,7 +14,7 @@
 from msgspec import Meta, Struct
 
 import valverouter
-from valverouter.experiments.variants import VARIANTS
+from valverouter.experiments.variants import variant
 from valverouter.terms.day import Day, day
 from valverouter.terms.ini import FlawedTermsError, IniFile, Named, Words
 
@@ -116,8 +116,10 @@
             continue
         if factor.set == (DECISIONS,):
             for level in factor.levels:
-                if level not in VARIANTS:
-                    ini.flaw(f"factor {name}", "levels", f"{level!r}: known are {', '.join(VARIANTS)}")
+                try:
+                    variant(level)
+                except ValueError as error:
+                    ini.flaw(f"factor {name}", "levels", str(error))
         elif not factor.set or any("." not in place for place in factor.set):
             ini.flaw(f"factor {name}", "set", "SECTION.KEY of the day, or decisions alone")
     ini.done()
--- a/valverouter/experiments/runner.py
+++ b/valverouter/experiments/runner.py
@@ -19,7 +19,7 @@
 from valverouter.days.emulated import run_emulated
 from valverouter.experiments.figures import figures
 from valverouter.experiments.plan import Run, version
-from valverouter.experiments.variants import VARIANTS
+from valverouter.experiments.variants import variant
 
 TABLE = """create table if not exists runs
 (key text primary key, version text, variant text, seed integer, levels text, day text, figures text)"""
@@ -59,10 +59,10 @@
 def play(run: Run) -> dict[str, float]:
     """One run, here; `cpu` is its seconds on this core."""
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
-    variant = VARIANTS[run.variant]
+    decisions = variant(run.variant)
     began = time.process_time()
-    with variant.acts():
-        emulated = run_emulated(run.played(), variant.build)
+    with decisions.acts():
+        emulated = run_emulated(run.played(), decisions.build)
     took = time.process_time() - began
     models = [server.model for server in emulated.servers.values()]
     work = sum(model.counts.work for model in models)
--- a/valverouter/experiments/variants.py
+++ b/valverouter/experiments/variants.py
@@ -157,3 +157,24 @@
     )
 }
 BASELINES = ("any-server", "first-only", "least-wait", "two-drawn")
+
+
+def variant(level: str) -> Variant:
+    """A variant by its name, and after it values of the module that are other: `module NEWS_FADES_TURNS=2`.
+
+    ValueError names what is not known; a value must be a number where the module has one.
+    """
+    name, *changes = level.split()
+    if name not in VARIANTS:
+        raise ValueError(f"{name!r}: known are {', '.join(VARIANTS)}")
+    values = dict(VARIANTS[name].values)
+    for change in changes:
+        key, _, text = change.partition("=")
+        was = getattr(control, key, None)
+        if not key.isupper() or not isinstance(was, int | float):
+            raise ValueError(f"{key!r} is no figure of the decisions")
+        try:
+            values[key] = type(was)(text)
+        except ValueError:
+            raise ValueError(f"{change!r}: {key} is {type(was).__name__}, now {was}") from None
+    return Variant(level, VARIANTS[name].rule, values)
--- /dev/null
+++ b/valverouter/ledger/store.py
@@ -0,0 +1,215 @@
+"""An embedded store (lmdb) of records that a recovery reads: changes collected, committed whole or not at
+all.
+
+A commit is one transaction: after a kill at any moment the store holds a commit or does not hold it. Whether
+it also survives the machine going down is the sync policy's: `each` waits for the disk at every commit,
+`none` leaves it to the system (a killed process loses nothing by that). Every value carries its checksum,
+since lmdb does not notice a flipped byte in one.
+
+One process at a time: a second one on the same store gets LedgerBusyError. The size is bounded when opened; a
+store that is full takes back nothing that it holds and refuses the commit (LedgerFullError), so the caller
+takes no new dialogs until some have ended.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import zlib
+from collections.abc import Iterator
+from contextlib import closing
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import lmdb
+import msgspec
+
+from valverouter.recovery.course import Record
+from valverouter.recovery.learnt import Learnt
+
+FORMAT = 1
+MIB = 1024 * 1024
+DEFAULT_MOST = 64 * MIB
+# lmdb writes beside what it replaces, deletions too: a store filled to its map can't even be emptied. So the
+# map has room beyond what entries may take.
+SPARE = 4
+
+_encoder = msgspec.msgpack.Encoder()
+_records = msgspec.msgpack.Decoder(Record)
+_learnt = msgspec.msgpack.Decoder(Learnt)
+
+
+class LedgerError(Exception):
+    """The store can't be used as it is; the text says why and what to do."""
+
+
+class LedgerBusyError(LedgerError):
+    """Another process holds it."""
+
+
+class LedgerFullError(LedgerError):
+    """The commit did not fit, or the disk refused it: nothing of it is kept."""
+
+
+class Damaged(msgspec.Struct, frozen=True):
+    """An entry that can't be read, and why."""
+
+    table: str
+    key: str
+    why: str
+
+
+class Ledger:
+    """An open store. Records leave by `drop`; nothing else grows."""
+
+    def __init__(self, path: Path, most: int = DEFAULT_MOST, sync: str = "none") -> None:
+        path.mkdir(parents=True, exist_ok=True)
+        self.path = path
+        self._lock = (path / "owner").open("wb")
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            self._lock.close()
+            raise LedgerBusyError(f"{path} is held by another process") from None
+        try:
+            self._env = lmdb.open(
+                str(path), map_size=SPARE * most, max_dbs=3, sync=sync == "each", metasync=sync == "each"
+            )
+            self._meta, self._dialogs, self._servers = (
+                self._env.open_db(name) for name in (b"meta", b"dialogs", b"servers")
+            )
+            self._check_format()
+        except lmdb.Error as error:
+            self._lock.close()
+            raise LedgerError(f"{path}: {error}") from error
+        except LedgerError:
+            self.close()
+            raise
+        # None: the entry goes. Emptied by each commit.
+        self._puts: dict[tuple[Any, bytes], bytes | None] = {}
+        self._most = most
+
+    def __enter__(self) -> Ledger:
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """What was not committed is not kept."""
+        self._env.close()
+        self._lock.close()
+
+    def _check_format(self) -> None:
+        with self._env.begin(db=self._meta) as txn:
+            held = txn.get(b"format")
+        if held is None:
+            self._write_meta(b"format", FORMAT)
+        elif int(held) != FORMAT:
+            raise LedgerError(
+                f"{self.path} has format {int(held)}, this version reads {FORMAT}: export it with the one "
+                "that wrote it, or move it away and lose what it holds"
+            )
+
+    def _write_meta(self, key: bytes, value: int) -> None:
+        with self._env.begin(write=True, db=self._meta) as txn:
+            txn.put(key, str(value).encode())
+        self._env.sync(True)
+
+    def begin_epoch(self) -> int:
+        """A later number than any former instance's, on disk before it is given."""
+        with self._env.begin(db=self._meta) as txn:
+            epoch = int(txn.get(b"epoch") or 0) + 1
+        self._write_meta(b"epoch", epoch)
+        return epoch
+
+    # Changes
+
+    def put(self, record: Record) -> None:
+        self._puts[self._dialogs, record.dialog.encode()] = _sealed(record)
+
+    def drop(self, dialog: str) -> None:
+        self._puts[self._dialogs, dialog.encode()] = None
+
+    def put_learnt(self, learnt: Learnt) -> None:
+        self._puts[self._servers, learnt.server.encode()] = _sealed(learnt)
+
+    @property
+    def pending(self) -> int:
+        """Changes that wait for a commit."""
+        return len(self._puts)
+
+    def commit(self) -> int:
+        """Writes all changes as one; how many. LedgerFullError: none is kept, and they wait no more."""
+        puts, self._puts = self._puts, {}
+        if not puts:
+            return 0
+        try:
+            if any(value is not None for value in puts.values()) and (live := self.live()) >= self._most:
+                raise LedgerFullError(f"{self.path}: {live} bytes live, {self._most} are allowed")
+            with self._env.begin(write=True) as txn:
+                for (table, key), value in puts.items():
+                    if value is None:
+                        txn.delete(key, db=table)
+                    else:
+                        txn.put(key, value, db=table)
+        except (lmdb.Error, OSError) as error:
+            raise LedgerFullError(f"{self.path}: {type(error).__name__}: {error}") from error
+        return len(puts)
+
+    # Reading back
+
+    def records(self) -> Iterator[Record | Damaged]:
+        """Every dialog's record as committed; what can't be read as Damaged, and the rest all the same."""
+        yield from self._all(self._dialogs, "dialogs", _records)
+
+    def learnt(self) -> Iterator[Learnt | Damaged]:
+        yield from self._all(self._servers, "servers", _learnt)
+
+    def _all(self, table: Any, name: str, decoder: Any) -> Iterator[Any]:
+        with self._env.begin(db=table) as txn, closing(txn.cursor()) as cursor:
+            for key, value in cursor:
+                yield _opened(bytes(key), bytes(value), name, decoder)
+
+    def repair(self) -> list[Damaged]:
+        """Takes out what can't be read; gives what was lost by it."""
+        lost = [one for one in (*self.records(), *self.learnt()) if isinstance(one, Damaged)]
+        tables = {"dialogs": self._dialogs, "servers": self._servers}
+        with self._env.begin(write=True) as txn:
+            for one in lost:
+                txn.delete(one.key.encode("utf-8", "surrogateescape"), db=tables[one.table])
+        self._env.sync(True)
+        return lost
+
+    def live(self) -> int:
+        """Bytes of the pages that entries take now."""
+        found = 0
+        with self._env.begin() as txn:
+            for table in (self._dialogs, self._servers):
+                stat = txn.stat(table)
+                pages = stat["branch_pages"] + stat["leaf_pages"] + stat["overflow_pages"]
+                found += int(pages * stat["psize"])
+        return found
+
+    def used(self) -> int:
+        """Bytes of pages in use; those of entries that went are used again."""
+        info, stat = self._env.info(), self._env.stat()
+        return int((info["last_pgno"] + 1) * stat["psize"])
+
+
+def _sealed(value: Record | Learnt) -> bytes:
+    body = _encoder.encode(value)
+    return zlib.crc32(body).to_bytes(4, "big") + body
+
+
+def _opened(key: bytes, value: bytes, table: str, decoder: Any) -> Any:
+    name = key.decode("utf-8", "surrogateescape")
+    body = value[4:]
+    if len(value) < 5 or zlib.crc32(body) != int.from_bytes(value[:4], "big"):
+        return Damaged(table, name, "its checksum does not fit")
+    try:
+        return decoder.decode(body)
+    except msgspec.DecodeError as error:
+        return Damaged(table, name, str(error))
