--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -18,6 +18,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.test_days import valverouter
 from valverouter.ledger.store import Damaged, Ledger, LedgerBusyError, LedgerError, LedgerFullError
 from valverouter.recovery import course, model
 from valverouter.recovery.course import Moment, OutOfOrderError, Phase, Record, passed
@@ -410,3 +411,24 @@
 
 def test_records_are_as_small_as_they_are_said_to_be() -> None:
     assert len(msgspec.msgpack.encode(record("c0-12345.2", Phase.OUT, server="s11"))) < 120
+
+
+def test_the_ledger_commands(tmp_path: Path) -> None:
+    store = tmp_path / "store"
+    with Ledger(store) as ledger:
+        ledger.put(record("a"))
+        ledger.put(record("b", Phase.OUT))
+        ledger.commit()
+        with ledger._env.begin(write=True, db=ledger._dialogs) as txn:
+            txn.put(b"c", b"nonsense")
+        held = valverouter("ledger", "inspect", str(store))
+    assert held.returncode == 2 and "held by another process" in held.stderr
+    shown = valverouter("ledger", "inspect", str(store))
+    assert "2 dialogs" in shown.stdout and "out: 1" in shown.stdout
+    assert valverouter("ledger", "verify", str(store)).returncode == 1
+    assert "lost: dialogs 'c'" in valverouter("ledger", "repair", str(store)).stdout
+    assert valverouter("ledger", "verify", str(store)).returncode == 0
+    lines = valverouter("ledger", "export", str(store)).stdout.splitlines()
+    assert [msgspec.json.decode(line)["dialog"] for line in lines] == ["a", "b"]
+    none = valverouter("ledger", "inspect", str(tmp_path / "nowhere"))
+    assert none.returncode == 2 and "no store" in none.stderr and not (tmp_path / "nowhere").exists()
--- a/valverouter/cli/__main__.py
+++ b/valverouter/cli/__main__.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 import tempfile
+from collections import Counter
 from collections.abc import Callable
 from contextlib import closing
 from pathlib import Path
@@ -33,9 +34,9 @@
 from valverouter.edge.attempting import AttemptBook
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import Sockets, long_lived
-from valverouter.experiments.plan import plan
-from valverouter.experiments.report import gathered, page
-from valverouter.experiments.runner import Store, run_all
+from valverouter.ledger.store import Damaged, Ledger, LedgerError
+from valverouter.load.drive import LoadFailedError
+from valverouter.recovery.course import Record
 from valverouter.regions.accounts import by_minute, merged, missing
 from valverouter.regions.crossing import Crossing
 from valverouter.signalling import tap
@@ -370,6 +371,11 @@
 @click.option("--jobs", default=4, show_default=True, help="Processes at once.")
 def experiment_run(file: Path, store: Path, jobs: int) -> None:
     """Play the runs of FILE that are not kept yet; cut off, it goes on where it was."""
+    # Here and below: scipy and all that comes with it cost half a second, which no edge proxy should start
+    # with.
+    from valverouter.experiments.plan import plan
+    from valverouter.experiments.runner import run_all
+
     made = plan(file)
     bars = Progress(TextColumn("{task.description}"), BarColumn(), TimeElapsedColumn(), console=console)
     with bars:
@@ -387,6 +393,10 @@
 @click.option("--html", type=FILE, help="A page with charts in this file too.")
 def experiment_report(file: Path, store: Path, figure: str, html: Path | None) -> None:
     """Means with their intervals, and paired differences from the baseline, of the kept runs of FILE."""
+    from valverouter.experiments.plan import plan
+    from valverouter.experiments.report import gathered, page
+    from valverouter.experiments.runner import Store
+
     made = plan(file)
     with closing(Store(store)) as kept:
         cells = gathered(made, kept)
@@ -419,6 +429,65 @@
     console.print(f"cut down to {kinds}: {kept:+.3f}; {out}", highlight=False, soft_wrap=True)
 
 
+@main.group()
+def ledger() -> None:
+    """The store of dialogs that an edge proxy owes answers to."""
+
+
+def _kept(folder: Path) -> Ledger:
+    # Opening makes a store where there is none: a slip in the path would read as an empty one.
+    if not (folder / "data.mdb").exists():
+        raise ValueError(f"{folder}: there is no store")
+    return Ledger(folder)
+
+
+@ledger.command("inspect")
+@click.argument("folder", type=FILE)
+def ledger_inspect(folder: Path) -> None:
+    """What the store in FOLDER holds, by phase."""
+    with _kept(folder) as store:
+        records = [one for one in store.records() if isinstance(one, Record)]
+        phases = Counter(one.phase.value for one in records)
+        console.print(
+            f"{len(records)} dialogs, {store.live()} bytes live, {store.used()} used", highlight=False
+        )
+    for phase, count in sorted(phases.items()):
+        console.print(f"  {phase}: {count}", highlight=False)
+
+
+@ledger.command("verify")
+@click.argument("folder", type=FILE)
+def ledger_verify(folder: Path) -> None:
+    """Read every entry in FOLDER; exits with 1 when one is damaged."""
+    with _kept(folder) as store:
+        damaged = [one for one in (*store.records(), *store.learnt()) if isinstance(one, Damaged)]
+    for one in damaged:
+        console.print(f"{one.table} {one.key!r}: {one.why}", highlight=False, markup=False)
+    console.print(f"{len(damaged)} damaged", highlight=False)
+    sys.exit(BROKEN if damaged else 0)
+
+
+@ledger.command("repair")
+@click.argument("folder", type=FILE)
+def ledger_repair(folder: Path) -> None:
+    """Take damaged entries out of the store in FOLDER, and say what is lost by it."""
+    with _kept(folder) as store:
+        lost = store.repair()
+    for one in lost:
+        console.print(f"lost: {one.table} {one.key!r}: {one.why}", highlight=False, markup=False)
+    console.print(f"{len(lost)} lost", highlight=False)
+
+
+@ledger.command("export")
+@click.argument("folder", type=FILE)
+def ledger_export(folder: Path) -> None:
+    """Every readable record in FOLDER as a JSON line on standard output."""
+    with _kept(folder) as store:
+        for one in store.records():
+            if isinstance(one, Record):
+                click.echo(msgspec.json.encode(msgspec.structs.asdict(one)))
+
+
 @main.group()
 def regions() -> None:
     """What crossed from region to region, and what had better."""
@@ -465,11 +534,14 @@
     except FlawedTermsError as error:
         click.echo(error, err=True)
         sys.exit(UNUSABLE)
-    except (ValueError, OSError) as error:
+    except (ValueError, OSError, LedgerError) as error:
         click.echo(f"valverouter: {error}", err=True)
         sys.exit(UNUSABLE)
+    except LoadFailedError as error:
+        click.echo(f"valverouter: {error}", err=True)
+        sys.exit(FAILED)
     except BaseExceptionGroup as group:
-        if group.split((EdgeFailedError, OSError))[1] is not None:
+        if group.split((EdgeFailedError, LoadFailedError, OSError))[1] is not None:
             raise
         click.echo(f"valverouter: {_leaf(group)}", err=True)
         sys.exit(FAILED)
--- a/valverouter/cli/tables.py
+++ b/valverouter/cli/tables.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from rich.bar import Bar
 from rich.console import Console
 from rich.table import Table
@@ -9,12 +11,13 @@
 from valverouter.attempts.courses import Course
 from valverouter.audit.account import Account, service
 from valverouter.audit.rules import Verdict
-from valverouter.experiments.compare import interval, paired
-from valverouter.experiments.report import Cell, baseline_of
 from valverouter.regions.accounts import COUNTS, Line, Tally
 from valverouter.regions.planner import Plan
 from valverouter.terms.ini import show_span
 
+if TYPE_CHECKING:
+    from valverouter.experiments.report import Cell
+
 RULES = {
     1: "one final answer, in time, nothing after",
     2: "never two legs out",
@@ -117,6 +120,9 @@
     console: Console, cells: dict[tuple[str, ...], Cell], baseline: dict[str, str], figure: str
 ) -> None:
     """One line for each combination of levels: mean, interval, paired difference from the baseline."""
+    from valverouter.experiments.compare import interval, paired
+    from valverouter.experiments.report import baseline_of
+
     table = Table(title=f"{figure}: mean and 95% interval; difference from the baseline by pairs of a seed")
     for head in (*next(iter(cells.values())).levels, "runs", figure, "difference", "least that would show"):
         table.add_column(head)
--- a/valverouter/regions/planner.py
+++ b/valverouter/regions/planner.py
@@ -10,7 +10,6 @@
 from dataclasses import dataclass, field
 
 import numpy as np
-from scipy.optimize import linprog
 
 # What a leg that crosses costs against one left unserved of importance 1: small enough never to prefer the
 # latter.
@@ -65,6 +64,9 @@
 
 def plan(demands: list[Demand], capacities: list[Capacity], limits: list[Limit]) -> Plan:
     """The plan. Raises ValueError where regions don't match or a figure is negative."""
+    # Here: it costs half a second, and every start of an edge proxy comes by this module.
+    from scipy.optimize import linprog
+
     regions = [one.region for one in capacities]
     for demand in demands:
         if demand.region not in regions:
