--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -19,6 +19,7 @@
 from valverouter.days.virtual import run_virtual
 from valverouter.emulator.fleet import Fleet
 from valverouter.emulator.simulated import EPOCH, Chance, Simulated
+from valverouter.experiments.daypage import day_page
 from valverouter.servermodel.arrivals import Pattern, Source, replayed
 from valverouter.servermodel.server import Happens, Make, SetupServer
 from valverouter.signalling import setup
@@ -220,3 +221,13 @@
         await caller.next(setup.Aborted)
         await trio.sleep(0.1)
         assert not rig.edge._links["s0"].legs
+
+
+def test_a_day_is_drawn_second_by_second_on_a_page_that_needs_nothing() -> None:
+    emulated = run_emulated(short("bad-day.ini"), sample_every=SECOND)
+    assert {one.server for one in emulated.samples} >= {"s0", "s1", "s2", "s3"}
+    assert all(0 <= one.tokens <= 1 and one.window > 0 and one.wait >= 0 for one in emulated.samples)
+    assert run_emulated(short("bad-day.ini")).rows == emulated.rows, "looking changes nothing"
+    page = day_page("bad <day>", emulated)
+    assert page.count("<polyline") > 10 and "bad &lt;day&gt;" in page and "s3, second" in page
+    assert "http" not in page and "<script" not in page
--- a/valverouter/cli/__main__.py
+++ b/valverouter/cli/__main__.py
@@ -407,6 +407,23 @@
         html.write_text(page(made, cells, figure))
 
 
+@experiment.command("day")
+@click.argument("file", type=FILE)
+@click.option("--html", type=FILE, required=True, help="The page goes here.")
+def experiment_day(file: Path, html: Path) -> None:
+    """Emulate the day in FILE, print accounts and verdict, and draw it second by second on a page.
+
+    Exits with 1 when a rule was broken.
+    """
+    from valverouter.days.emulated import run_emulated
+    from valverouter.experiments.daypage import day_page
+
+    script = load_day(file)
+    emulated = run_emulated(script, sample_every=10**9)
+    html.write_text(day_page(script.name, emulated), "utf-8")
+    _show(emulated.rows)
+
+
 @experiment.command("search")
 @click.argument("file", type=FILE)
 @click.option("--out", type=FILE, required=True, help="The day that was found goes here.")
--- a/valverouter/days/emulated.py
+++ b/valverouter/days/emulated.py
@@ -35,6 +35,7 @@
     )
 
 
-def run_emulated(day: Day, decisions: Decisions = Driver) -> Emulated:
-    """The whole day; the same day gives the same rows every time."""
-    return Fleet(day, plans(day, decisions)).run()
+def run_emulated(day: Day, decisions: Decisions = Driver, sample_every: int = 0) -> Emulated:
+    """The whole day; the same day gives the same rows every time. `sample_every`: ns between samples of what
+    the edge proxies know; 0: none."""
+    return Fleet(day, plans(day, decisions), sample_every).run()
--- a/valverouter/emulator/edges.py
+++ b/valverouter/emulator/edges.py
@@ -189,6 +189,14 @@
         act(*args)
         self._carry_out()
 
+    def known(self) -> dict[str, tuple[int, float, float]]:
+        """Of each server its wait, our window and the share of tokens left, as the decisions have them."""
+        control = self.driver.control
+        return {
+            name: (far.wait(control.now), far.window, far.budget.tokens / far.budget.terms.full)
+            for name, far in control._fars.items()
+        }
+
     def catch_up(self) -> None:
         """Lets beats and reports up to now act, where no event has for a while."""
         if self.runs and not self._stalled_until:
--- a/valverouter/emulator/fleet.py
+++ b/valverouter/emulator/fleet.py
@@ -41,6 +41,18 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class Sampled:
+    """What the edge proxies knew of a server at a moment, on average: its wait (ns), their windows for it,
+    the share of retry tokens left."""
+
+    at: int
+    server: str
+    wait: float
+    window: float
+    tokens: float
+
+
 @dataclass(slots=True)
 class Emulated:
     """What a day gave: its rows, and what cost how much."""
@@ -48,12 +60,13 @@
     rows: list[Row]
     servers: dict[str, EmulatedServer] = field(default_factory=dict)
     dialled: int = 0
+    samples: list[Sampled] = field(default_factory=list)
 
 
 class Fleet:
     """The world of one day; `run` plays it to the end."""
 
-    def __init__(self, day: Day, plans: Sequence[EdgePlan]) -> None:
+    def __init__(self, day: Day, plans: Sequence[EdgePlan], sample_every: int = 0) -> None:
         self.day = day
         self.sim = Simulated()
         self.tap = Tap(self.sim.now)
@@ -63,6 +76,8 @@
         self.rate = 1.0
         self.hot = 0.0
         self.dialled = 0
+        self.samples: list[Sampled] = []
+        self._sample_every = sample_every
         self._numbers = CalledNumbers()
         self._phases: dict[str, str] = {}
         self._born: dict[str, int] = {}
@@ -141,6 +156,8 @@
         for callers in self.callers:
             self._source(callers)
         self._sweep()
+        if self._sample_every:
+            self._sample()
         sim.run(self._ends)
         for callers in self.callers:
             callers.patience = 1.0
@@ -148,13 +165,23 @@
         while sim.now() < latest and any(callers.waiting for callers in self.callers):
             sim.run(min(latest, sim.now() + SECOND // 20))
         sim.run(sim.now() + LATE)
-        return Emulated(self.tap.rows, self.servers, self.dialled)
+        return Emulated(self.tap.rows, self.servers, self.dialled, self.samples)
 
     def _sweep(self) -> None:
         for edge in self.edges:
             edge.catch_up()
         self.sim.after(SWEEP, self._sweep)
 
+    def _sample(self) -> None:
+        by_server: dict[str, list[tuple[int, float, float]]] = {}
+        for edge in self.edges:
+            for name, seen in edge.known().items() if edge.runs else ():
+                by_server.setdefault(name, []).append(seen)
+        for name, every in sorted(by_server.items()):
+            means = [sum(column) / len(every) for column in zip(*every, strict=True)]
+            self.samples.append(Sampled(self.sim.now(), name, *means))
+        self.sim.after(self._sample_every, self._sample)
+
     # Callers
 
     def _source(self, callers: EmulatedCallers) -> None:
