Attempt terms found by matching rules again; twins made one; no log setting in a run

Read over once more. AttemptBook resolved terms anew for nearly every called number, since its table was keyed by the number: it is keyed by type and matching rules again, as before routes came. The model carried an argument that nothing read. A run of an experiment set the log's filter for its whole process, which hid log events from whatever ran after it; the emulator logs nothing, so the setting is gone.

--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -53,8 +53,7 @@
 
 
 def judged(played: Day, rows: list[Row]) -> tuple[float, bool]:
-    importance = {kind: traffic.importance for kind, traffic in played.traffic.items()}
-    return service(account(rows), importance), audit(rows).kept
+    return service(account(rows), played.importance), audit(rows).kept
 
 
 def one(job: tuple[str, int, bool]) -> tuple[str, tuple[float, bool], tuple[float, bool]]:
--- a/benchmarks/leg_time_out.py
+++ b/benchmarks/leg_time_out.py
@@ -54,8 +54,7 @@
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
     played = script(*job)
     rows = run_virtual(played)
-    importance = {kind: traffic.importance for kind, traffic in played.traffic.items()}
-    return job, service(account(rows), importance), audit(rows).kept
+    return job, service(account(rows), played.importance), audit(rows).kept
 
 
 def main() -> None:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -119,10 +119,8 @@
 # Days
 
 
-def short(name: str, length: str = "8s", **changes: str) -> Day:
-    text = (DAYS / name).read_text().replace("length = 30s", f"length = {length}")
-    for old, new in changes.items():
-        text = text.replace(old.replace("_", " "), new)
+def short(name: str) -> Day:
+    text = (DAYS / name).read_text().replace("length = 30s", "length = 8s")
     return day(IniFile(text, name), name)
 
 
@@ -184,8 +182,9 @@
     text = text[: text.index("[trouble ")].replace("length = 30s", "length = 10s")
     text += "[trouble slow]\nkind = slow\nstart = 2s\nlength = 4s\nsize = 4\non = s0, s3\n"
     played = day(IniFile(text, "slow"), "slow")
-    importance = {kind: traffic.importance for kind, traffic in played.traffic.items()}
-    got = [service(account(rows), importance) for rows in (run_emulated(played).rows, run_virtual(played))]
+    got = [
+        service(account(rows), played.importance) for rows in (run_emulated(played).rows, run_virtual(played))
+    ]
     assert abs(got[0] - got[1]) < 0.08 and min(got) > 0.8
 
 
--- a/valverouter/days/world.py
+++ b/valverouter/days/world.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from valverouter.emulator.fleet import make_of
+from valverouter.emulator.fleet import HOT_NUMBER, make_of
 from valverouter.servermodel.arrivals import Pattern, Source
 from valverouter.servermodel.server import CalledNumbers, SetupServer
 from valverouter.signalling import setup
@@ -24,7 +24,6 @@
 from valverouter.standins.wires import Agenda, Place
 from valverouter.terms.day import Day, Trouble
 
-HOT_NUMBER = 1
 LATE_S = 0.3
 
 
@@ -68,8 +67,8 @@
             Terms,
             release_wait=day.fleet.release_wait,
             slack=slack,
-            objectives={name: kind.objective for name, kind in day.traffic.items()},
-            importance={name: kind.importance for name, kind in day.traffic.items()},
+            objectives=day.objectives,
+            importance=day.importance,
         )
         for number in range(day.server_count):
             self._build(f"s{number}", number)
--- a/valverouter/edge/attempting.py
+++ b/valverouter/edge/attempting.py
@@ -15,9 +15,8 @@
 from valverouter.terms.ini import Flaw, FlawedTermsError
 
 DECISIONS = "the decisions' own"
-# Combinations of sections that are checked, and called numbers' routes that are kept between dialogs.
+# Combinations of sections that are checked.
 COMBINATIONS_MOST = 20_000
-ROUTES_KEPT = 10_000
 
 
 class AttemptBook:
@@ -35,8 +34,9 @@
         self._sections = {section.name: section for section in terms.attempts.sections}
         self._rules = [rule for section in terms.attempts.sections for rule in _rules(section, SETS)]
         self._of_servers = [r for section in terms.attempts.sections for r in _rules(section, BUDGET_SETS)]
-        # By what decides on a dialog's terms; full, it is begun anew, so numbers that pass can't fill memory.
-        self._known: dict[Asked, AttemptTerms | None] = {}
+        # By type and which rules match, not by number: nearly every dialog's number is new, and resolving
+        # costs far more than matching. As many as the file has such combinations, gone with the book.
+        self._known: dict[tuple[str, tuple[bool, ...]], AttemptTerms | None] = {}
         if flaws := [*self._ties(), *self._broken()]:
             raise FlawedTermsError(sorted(flaws, key=lambda flaw: flaw.line))
 
@@ -46,12 +46,13 @@
         """A dialog's terms; None where no section touches it, or its type is unknown: the decisions' own
         hold."""
         asked = self.asked(traffic_type, number, peer, first_choice)
-        if asked not in self._known:
-            if len(self._known) >= ROUTES_KEPT:
-                self._known.clear()
-            found = resolve(self._rules, asked) if traffic_type in self._deployment.traffic_types else {}
-            self._known[asked] = self._terms(traffic_type, found) if found else None
-        return self._known[asked]
+        if traffic_type not in self._deployment.traffic_types:
+            return None
+        key = traffic_type, tuple(rule.when.matches(asked) for rule in self._rules)
+        if key not in self._known:
+            found = resolve(self._rules, asked)
+            self._known[key] = self._terms(traffic_type, found) if found else None
+        return self._known[key]
 
     def asked(self, traffic_type: str, number: int, peer: str = "", first_choice: int = -1) -> Asked:
         """What of a dialog decides on its terms: its trunk group is its caller's, its server set that of its
--- a/valverouter/edge/links.py
+++ b/valverouter/edge/links.py
@@ -11,14 +11,12 @@
 
 from valverouter.edge.events import FromServer, LinkDown, LinkUp
 from valverouter.edge.mail import Departures, Inbox, Outbox, Overfull
-from valverouter.edge.surroundings import Surroundings
+from valverouter.edge.surroundings import READ, Surroundings
 from valverouter.signalling.framing import ProtocolError
 from valverouter.signalling.greeting import NEWEST, OLDEST, Hello, NotUnderstood, Session, Welcome
 from valverouter.signalling.setup import Provisional, SetupSession
 from valverouter.terms.edge import Links
 
-READ = 64 * 1024
-
 log = structlog.get_logger()
 
 Wait = Callable[[int], int]
--- a/valverouter/edge/listener.py
+++ b/valverouter/edge/listener.py
@@ -8,8 +8,9 @@
 import trio
 
 from valverouter.edge.events import CallerLost, FromCaller
-from valverouter.edge.links import READ, say_farewell
+from valverouter.edge.links import say_farewell
 from valverouter.edge.mail import Departures, Inbox, Outbox, Overfull
+from valverouter.edge.surroundings import READ
 from valverouter.signalling.framing import ProtocolError
 from valverouter.signalling.greeting import Hello, NotUnderstood, Welcome
 from valverouter.signalling.setup import SetupSession
--- a/valverouter/edge/listing.py
+++ b/valverouter/edge/listing.py
@@ -11,9 +11,9 @@
 
 from valverouter.edge.clock import Clock
 from valverouter.edge.events import ListHeard
-from valverouter.edge.links import READ, Wait, say_farewell
+from valverouter.edge.links import Wait, say_farewell
 from valverouter.edge.mail import Inbox
-from valverouter.edge.surroundings import Surroundings
+from valverouter.edge.surroundings import READ, Surroundings
 from valverouter.interface import ListScope, ServerEntry
 from valverouter.signalling.framing import ProtocolError
 from valverouter.signalling.greeting import NEWEST, OLDEST, Hello, Welcome
--- a/valverouter/edge/surroundings.py
+++ b/valverouter/edge/surroundings.py
@@ -18,7 +18,7 @@
 
 import trio
 
-READ_MOST = 64 * 1024
+READ = 64 * 1024
 
 Handler = Callable[[trio.abc.Stream], Awaitable[object]]
 
@@ -102,7 +102,7 @@
                     raise trio.ClosedResourceError("this stream was closed here")
                 await trio.lowlevel.wait_readable(self._socket)
                 with suppress(BlockingIOError):
-                    return self._socket.recv(max_bytes or READ_MOST)
+                    return self._socket.recv(max_bytes or READ)
 
     async def aclose(self) -> None:
         if self._socket.fileno() >= 0:
--- a/valverouter/emulator/fleet.py
+++ b/valverouter/emulator/fleet.py
@@ -89,8 +89,8 @@
             Terms,
             release_wait=day.fleet.release_wait,
             slack=0,
-            objectives={name: kind.objective for name, kind in day.traffic.items()},
-            importance={name: kind.importance for name, kind in day.traffic.items()},
+            objectives=day.objectives,
+            importance=day.importance,
         )
         for number in range(day.server_count):
             self._build(f"s{number}", number)
--- a/valverouter/emulator/servers.py
+++ b/valverouter/emulator/servers.py
@@ -174,13 +174,4 @@
             self.began()
 
     def began(self) -> None:
-        make = self.model.make
-        self.tap.row(
-            Began,
-            server=self.name,
-            setup_work=make.setup_work,
-            cold_share=make.cold_share,
-            warm_after=make.warm_after,
-            tip_multiple=make.tip_multiple,
-            tip_span=make.tip_span,
-        )
+        self.tap.row(Began, server=self.name, **self.model.make.cold_terms())
--- a/valverouter/experiments/plan.py
+++ b/valverouter/experiments/plan.py
@@ -105,12 +105,7 @@
     ini.only(("experiment",), ("factor",))
     head = ini.read("experiment", Experiment)
     factors = {name: ini.read(f"factor {name}", Factor) for name in ini.named("factor")}
-    text = ""
-    if head is not None:
-        try:
-            text = (path.parent / head.day).read_text("utf-8")
-        except OSError as error:
-            ini.flaw("experiment", "day", f"{head.day}: {error.strerror}")
+    text = day_beside(ini, path, "experiment", head.day) if head is not None else ""
     for name, factor in factors.items():
         if factor is None:
             continue
@@ -143,6 +138,15 @@
     return made
 
 
+def day_beside(ini: IniFile, path: Path, section: str, name: str) -> str:
+    """The text of the day that a file names, beside it; empty, and noted as a flaw, where it can't be had."""
+    try:
+        return (path.parent / name).read_text("utf-8")
+    except OSError as error:
+        ini.flaw(section, "day", f"{name}: {error.strerror}")
+        return ""
+
+
 def changed(text: str, changes: list[tuple[str, str, str]]) -> str:
     """A day's text with some keys set; sections that are not there are made."""
     parser = configparser.ConfigParser(interpolation=None, default_section="\0")
--- a/valverouter/experiments/runner.py
+++ b/valverouter/experiments/runner.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import logging
 import multiprocessing
 import sqlite3
 import time
@@ -14,7 +13,6 @@
 from pathlib import Path
 
 import msgspec
-import structlog
 
 from valverouter.days.emulated import run_emulated
 from valverouter.experiments.figures import figures
@@ -58,7 +56,6 @@
 
 def play(run: Run) -> dict[str, float]:
     """One run, here; `cpu` is its seconds on this core."""
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
     decisions = variant(run.variant)
     began = time.process_time()
     with decisions.acts():
--- a/valverouter/experiments/search.py
+++ b/valverouter/experiments/search.py
@@ -16,7 +16,7 @@
 from msgspec import Meta, Struct
 from scipy.optimize import differential_evolution
 
-from valverouter.experiments.plan import Run, changed
+from valverouter.experiments.plan import Run, changed, day_beside
 from valverouter.experiments.runner import play
 from valverouter.experiments.variants import BASELINES, VARIANTS
 from valverouter.terms.day import KINDS, Day, day
@@ -95,10 +95,7 @@
     found = ini.read("search", Search)
     base = ""
     if found is not None:
-        try:
-            base = (path.parent / found.day).read_text("utf-8")
-        except OSError as error:
-            ini.flaw("search", "day", f"{found.day}: {error.strerror}")
+        base = day_beside(ini, path, "search", found.day)
         for kind in found.kinds:
             if kind not in KINDS:
                 ini.flaw("search", "kinds", f"{kind!r} is not known; known are {', '.join(KINDS)}")
--- a/valverouter/recovery/model.py
+++ b/valverouter/recovery/model.py
@@ -81,14 +81,14 @@
         record = Record("d", "c", "plain", 0, 0, _moment(0), DEADLINE, 1)
         state = replace(State(), known=record)
         took = self._write("took", record)
-        return replace(state, ops=(*took, _to_caller("provisional"), *self._leg(record, 0, 1)))
+        return replace(state, ops=(*took, _to_caller("provisional"), *self._leg(record, 0)))
 
     # What the instance does
 
     def _write(self, name: str, record: Record) -> tuple[Op, ...]:
         return () if name == self.without else (("write", record, name, 0),)
 
-    def _leg(self, record: Record, now: int, epoch: int) -> tuple[Op, ...]:
+    def _leg(self, record: Record, now: int) -> tuple[Op, ...]:
         """The next leg, or the answer where none is left."""
         leg = record.leg + 1
         if leg >= LEGS or now >= DEADLINE - 1:
@@ -110,7 +110,7 @@
 
     def _follows(self, state: State, record: Record, decision: Decision) -> State:
         """What an instance does on a decision."""
-        now, epoch = state.now, state.epoch
+        now = state.now
         match decision.need:
             case Need.FORGET:
                 return replace(state, known=None, disk=None, asked=False)
@@ -123,7 +123,7 @@
                 return replace(state, ops=ops, asked=False)
             case Need.GO_ON:
                 waiting = record if record.phase is Phase.WAITING else failed(record, MOVED)
-                return replace(state, ops=self._leg(waiting, now, epoch), asked=False)
+                return replace(state, ops=self._leg(waiting, now), asked=False)
             case Need.ASK:
                 if state.asked:
                     return state
@@ -148,7 +148,7 @@
             return state
         if kind == "stands":
             return replace(state, ops=self._stands(record, state.now), asked=False)
-        return replace(state, ops=self._leg(failed(record, MOVED), state.now, state.epoch), asked=False)
+        return replace(state, ops=self._leg(failed(record, MOVED), state.now), asked=False)
 
     # One step of the world
 
@@ -230,7 +230,7 @@
             return
         if state.quiet_until >= 0 and state.now >= state.quiet_until and record.phase is Phase.LET_GO:
             over = failed(record, MOVED)
-            ops = self._leg(over, state.now, state.epoch)
+            ops = self._leg(over, state.now)
             yield "the release time has passed", replace(state, ops=ops, quiet_until=-1)
         if state.quiet_until >= 0 and state.now == DEADLINE - 1 and record.phase is Phase.LET_GO:
             ops = self._answer(record, "aborted", state.now)
--- a/valverouter/servermodel/server.py
+++ b/valverouter/servermodel/server.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import Any
 
 SECOND = 1_000_000_000
 
@@ -72,6 +73,11 @@
     tip_span: int = SECOND
     spread: float = 0.0
 
+    def cold_terms(self) -> dict[str, Any]:
+        """What its start is judged by: the work of a set-up, what it can do cold, what pushes it over."""
+        names = ("setup_work", "cold_share", "warm_after", "tip_multiple", "tip_span")
+        return {name: getattr(self, name) for name in names}
+
 
 class CalledNumbers:
     """The lines behind each called number, which all servers share. Emptied as its dialogs end."""
--- a/valverouter/terms/day.py
+++ b/valverouter/terms/day.py
@@ -186,6 +186,14 @@
                 return name
         return ""
 
+    @property
+    def objectives(self) -> dict[str, int]:
+        return {name: kind.objective for name, kind in self.traffic.items()}
+
+    @property
+    def importance(self) -> dict[str, float]:
+        return {name: kind.importance for name, kind in self.traffic.items()}
+
     @property
     def server_count(self) -> int:
         return sum(region.servers for region in self.regions.values())
