A fault in one connection's task costs that connection, no longer the instance

Seen: one list row whose address is no HOST:PORT ended the whole edge proxy (ValueError in Link._once), as did a malformed frame of a caller that does not read (BusyResourceError in say_farewell, two writers on one stream) and a MemoryError in one read. Every dialog there lost its answer. Ruled out: trio's listener, which only passes it on. At fault: links.py run and say_farewell, listener.py run, listing.py run, surroundings.py split (int of any text). Mended with a net round each connection's task, clear words for addresses, and no farewell to a peer that has a writer waiting.

--- /dev/null
+++ b/tests/test_drills.py
@@ -0,0 +1,77 @@
+"""Drills: each dependency's worst failures, caused on purpose. docs/failures.md says what each one shows.
+
+One alone: `python -m pytest tests/test_drills.py -k NAME`. Those with `drill` run `valverouter edge` as a
+process on loopback; those with `rigged` run the same edge proxy in virtual time.
+"""
+
+from __future__ import annotations
+
+import socket
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+from structlog.testing import capture_logs
+from trio.testing import MockClock
+
+from tests.drilling import drill
+from tests.rig import dial, rigged
+from valverouter.edge.links import say_farewell
+from valverouter.edge.surroundings import PlainStream
+from valverouter.signalling.framing import ProtocolError, frame
+from valverouter.signalling.greeting import Hello
+from valverouter.signalling.serverlist import Row
+from valverouter.signalling.setup import Load, Reported, Setup, SetupSession, Stands
+
+# Troubled connections
+
+
+@pytest.mark.parametrize(
+    "address", ["", "nowhere", "127.0.0.1:99999", "127.0.0.1:²", "bad host:1", "x" * 70 + ":1"]
+)
+async def test_a_listed_address_that_is_none_costs_that_server_alone(tmp_path: Path, address: str) -> None:
+    async with drill(tmp_path) as one:
+        await one.start(one.ini())
+        await one.tell(Row("s9", 9, "in-service", address, "", 1, 1))
+        told = await one.event("link-down")
+        assert told["server"] == "s9" and told["why"].startswith("no connection")
+        await one.stands("d1")
+
+
+async def test_a_caller_that_reads_nothing_and_sends_rubbish_costs_itself_alone() -> None:
+    near, far = socket.socketpair()
+    stream = PlainStream(trio.SocketStream(trio.socket.from_stdlib_socket(near)))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stream.send_all, b"x" * 10_000_000)
+        await trio.testing.wait_all_tasks_blocked()
+        await say_farewell(stream, SetupSession(), ProtocolError("malformed", "rubbish"))
+        nursery.cancel_scope.cancel()
+    await stream.aclose()
+    far.close()
+
+
+async def test_a_fault_in_one_connections_task_ends_neither_the_others_nor_the_instance(
+    autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with rigged() as rig:
+        whole = SetupSession.receive
+
+        def falls(session: SetupSession, data: Any) -> Any:
+            if session.peer in ("bad", "s1"):
+                raise MemoryError
+            return whole(session, data)
+
+        await rig.caller("bad")
+        monkeypatch.setattr(SetupSession, "receive", falls)
+        with capture_logs() as logs:
+            caller = await rig.caller("c1")
+            bad = await rig.network.connect("edge:1")
+            await bad.send_all(frame(Hello((1, 1), "caller", "bad")) + frame(dial("b1")))
+            await rig.servers["s1"].link.send(Reported(Load()))
+            await trio.sleep(1)
+        assert {line["what"] for line in logs if line["event"] == "connection-failed"} >= {"link"}
+        await caller.send(dial())
+        await rig.servers["s0"].link.next(Setup)
+        await rig.servers["s0"].link.send(Stands("d1"))
+        assert await caller.next(Stands)
--- a/valverouter/edge/links.py
+++ b/valverouter/edge/links.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Hashable
-from contextlib import suppress
+from collections.abc import Callable, Hashable, Iterator
+from contextlib import contextmanager, suppress
 from typing import Any
 
 import structlog
@@ -22,10 +22,27 @@
 Wait = Callable[[int], int]
 
 
+@contextmanager
+def costs_this_alone(what: str, name: str) -> Iterator[None]:
+    """A fault nobody thought of, in one connection's task: without this net it would end the instance, and
+    every dialog here would lose its answer."""
+    try:
+        yield
+    except Exception:
+        log.critical("connection-failed", what=what, peer=name, exc_info=True)
+
+
 async def say_farewell(stream: trio.abc.Stream, session: Session, error: ProtocolError) -> None:
     """The one clear error, if the peer still reads; it is given up either way, and costs no more than
-    this."""
-    with trio.move_on_after(0.1), suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+    this.
+
+    A peer that does not read has its writer waiting on the stream already, and trio lets only one wait: such
+    a peer gets no word, which it would not read.
+    """
+    with (
+        trio.move_on_after(0.1),
+        suppress(trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError),
+    ):
         if farewell := session.farewell(error):
             await stream.send_all(farewell)
 
@@ -124,7 +141,9 @@
         tries = 0
         while self.wanted:
             began = trio.current_time()
-            why = await self._once()
+            why = "failed"
+            with costs_this_alone("link", self.server):
+                why = await self._once()
             tries = tries + 1 if trio.current_time() - began < 1 else 1
             self._went_down(why)
             await trio.sleep(max(self._terms.reconnect_least, self._wait(tries)) / 1e9)
@@ -149,7 +168,8 @@
             try:
                 with trio.fail_after(self._terms.connect_within / 1e9):
                     stream = await self._surroundings.connect(self.address)
-            except (OSError, trio.TooSlowError) as error:
+            except (OSError, ValueError, OverflowError, trio.TooSlowError) as error:
+                # ValueError, OverflowError: the list told an address that is none.
                 return f"no connection: {error or type(error).__name__}"
             async with stream, trio.open_nursery() as nursery:
                 try:
--- a/valverouter/edge/listener.py
+++ b/valverouter/edge/listener.py
@@ -8,7 +8,7 @@
 import trio
 
 from valverouter.edge.events import CallerLost, FromCaller
-from valverouter.edge.links import say_farewell
+from valverouter.edge.links import costs_this_alone, say_farewell
 from valverouter.edge.mail import Departures, Inbox, Outbox, Overfull
 from valverouter.edge.surroundings import READ
 from valverouter.signalling.framing import ProtocolError
@@ -61,7 +61,7 @@
 
     async def run(self) -> None:
         """Serves until either side ends; whatever happens here costs this connection alone."""
-        with self._scope:
+        with costs_this_alone("caller", self.name), self._scope:
             async with self._stream as stream, trio.open_nursery() as nursery:
                 nursery.start_soon(self._write, stream)
                 try:
--- a/valverouter/edge/listing.py
+++ b/valverouter/edge/listing.py
@@ -11,7 +11,7 @@
 
 from valverouter.edge.clock import Clock
 from valverouter.edge.events import ListHeard
-from valverouter.edge.links import Wait, say_farewell
+from valverouter.edge.links import Wait, costs_this_alone, say_farewell
 from valverouter.edge.mail import Inbox
 from valverouter.edge.surroundings import READ, Surroundings
 from valverouter.interface import ListScope, ServerEntry
@@ -104,7 +104,9 @@
     async def run(self) -> None:
         while True:
             await self._asked.wait()
-            why = await self._once()
+            why = "failed"
+            with costs_this_alone("list", self._terms.list_service):
+                why = await self._once()
             was_up, self.is_up = self.is_up, False
             self.tries = 1 if was_up else self.tries + 1
             log.warning("list-down", service=self._terms.list_service, why=why, tries=self.tries)
@@ -121,7 +123,7 @@
         try:
             with trio.fail_after(links.connect_within / 1e9):
                 stream = await self._surroundings.connect(self._terms.list_service)
-        except (OSError, trio.TooSlowError) as error:
+        except (OSError, ValueError, OverflowError, trio.TooSlowError) as error:
             return f"no connection: {error or type(error).__name__}"
         async with stream:
             try:
--- a/valverouter/edge/surroundings.py
+++ b/valverouter/edge/surroundings.py
@@ -59,6 +59,8 @@
 
 def split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit():
+        raise ValueError(f"{address!r} is no HOST:PORT")
     return host.strip("[]"), int(port)
 
 
