A server gone from the list and back is linked again

Seen: a server that crashed, was told gone and came back at its address was never linked again until the edge proxy was restarted; its legs all ended unreachable. Ruled out: the list (the row was heard) and the server (it listened). At fault: Link.run left its loop in the wait between two connections without a LinkDown, so the instance kept the dead link, and _want took it for one that runs.

--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -75,3 +75,19 @@
         await rig.servers["s0"].link.next(Setup)
         await rig.servers["s0"].link.send(Stands("d1"))
         assert await caller.next(Stands)
+
+
+async def test_a_server_gone_from_the_list_and_back_is_linked_again(autojump_clock: MockClock) -> None:
+    async with rigged() as rig:
+        server = rig.servers["s0"]
+        server.scope.cancel()
+        await server.link.cut()
+        await trio.sleep(1)
+        await rig.tell(server.row("gone"))
+        await trio.sleep(10)
+        assert list(rig.edge._links) == ["s1"]
+        server.incarnation += 1
+        await rig.nursery.start(server.run)
+        await rig.tell(server.row())
+        await trio.sleep(1)
+        assert len(server.links) == 2
--- a/valverouter/edge/links.py
+++ b/valverouter/edge/links.py
@@ -68,6 +68,7 @@
         self.server = server
         self.address = address
         self.wanted = True
+        self.ended = False
         self.legs: dict[tuple[str, int], bool] = {}
         self._name = name
         self._terms = terms
@@ -146,7 +147,13 @@
                 why = await self._once()
             tries = tries + 1 if trio.current_time() - began < 1 else 1
             self._went_down(why)
-            await trio.sleep(max(self._terms.reconnect_least, self._wait(tries)) / 1e9)
+            if self.wanted:
+                await trio.sleep(max(self._terms.reconnect_least, self._wait(tries)) / 1e9)
+                if not self.wanted:
+                    # Its server left the list during the wait: without a word the instance would keep this
+                    # link, and take it for one that runs when the server comes back.
+                    self._went_down("no longer listed")
+        self.ended = True
 
     def _went_down(self, why: str) -> None:
         # The legs go with the event: those put on the next connection before it is heard are not meant.
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -624,7 +624,7 @@
                 self._teach(dialog_id, leg, link.server, outcome)
                 if taken is not None and ours:
                     self._over(taken, "cut")
-        if not link.wanted and self._links.get(link.server) is link:
+        if (link.ended or not link.wanted) and self._links.get(link.server) is link:
             del self._links[link.server]
 
     def _listed(self, heard: ListHeard) -> None:
@@ -649,7 +649,7 @@
 
     def _want(self, server: str, address: str) -> None:
         link = self._links.get(server)
-        if link is not None and link.address == address:
+        if link is not None and link.address == address and not link.ended:
             link.wanted = True
             return
         if link is not None:
