A leg let go behind a server that stopped reading still gets its dialog an answer

Ruled out: the decisions (they had not been told) and the caller's outbox. At fault: _leg_over waited for the cancel to have left, and the only alarm of the leg was spent. A second alarm at the last moment ends it.

--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -16,13 +16,14 @@
 from trio.testing import MockClock
 
 from tests.drilling import drill
-from tests.rig import dial, rigged
+from tests.rig import INI, SECOND, dial, rigged
+from valverouter.days.virtual import ROOM
 from valverouter.edge.links import say_farewell
 from valverouter.edge.mail import Inbox
 from valverouter.edge.surroundings import PlainStream
 from valverouter.signalling.framing import ProtocolError, frame
 from valverouter.signalling.serverlist import Row
-from valverouter.signalling.setup import Load, Reported, Setup, SetupSession, Stands
+from valverouter.signalling.setup import Aborted, Declined, Load, Reported, Setup, SetupSession, Stands
 
 # Troubled connections
 
@@ -92,6 +93,23 @@
         assert len(server.links) == 2
 
 
+async def test_a_leg_let_go_behind_a_server_that_stopped_reading_still_gets_its_answer(
+    autojump_clock: MockClock,
+) -> None:
+    async with rigged(1, INI + "[attempts soon]\nleg_time_out = 500ms\n") as rig:
+        caller = await rig.caller()
+        began = trio.current_time()
+        await caller.send(dial(no_answer=3 * SECOND))
+        await rig.servers["s0"].link.next(Setup)
+        rig.servers["s0"].stops_reading()
+        outbox = rig.edge._links["s0"]._outbox
+        assert outbox is not None
+        outbox.put(bytes(3 * ROOM))  # more than the stream takes: what follows waits behind it
+        answer = await caller.next((Aborted, Declined))
+        assert trio.current_time() - began <= 3
+        assert answer.dialog == "d1" and "d1" not in rig.edge._dialogs
+
+
 async def test_every_reader_held_by_a_full_inbox_goes_on(autojump_clock: MockClock) -> None:
     inbox, went = Inbox(most=2), []
 
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -533,7 +533,9 @@
             return
         if over.outcome is Outcome.TIMED_OUT and taken.link is not None and taken.link.legs.get(key) is False:
             self._let_go(taken, over.outcome)
-            if self._now < taken.deadline - self.terms.answer_margin:
+            if self._now < (latest := taken.deadline - self.terms.answer_margin):
+                # Behind a peer that stopped reading the cancel may never leave: the answer is owed all the same.
+                self._alarms.set(latest, over)
                 return
         self._end_leg(taken, over.outcome)
 
