Without descriptors callers are told so at once, and links keep theirs

Seen: with no descriptor left 4 of 4 new callers waited in the backlog and heard nothing for as long as they waited, while 360 lines of traceback a few seconds went to the log as plain text; callers could take every descriptor, so that a lost link was not made again. Ruled out: the caller's protocol (its hello was never read). At fault: surroundings.py serve (trio's own listener only waits) and proxy.py _serve (no bound). Now one spare descriptor lets each be refused with too-many and the span to come back after; [links] callers (10,000, and never what links need) bounds them; callers-refused is told once a second.

--- a/valverouter/days/virtual.py
+++ b/valverouter/days/virtual.py
@@ -113,6 +113,7 @@
         address: str,
         handler: Callable[[trio.abc.Stream], Awaitable[object]],
         task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+        refuse: Callable[[trio.abc.Stream], Awaitable[object]] | None = None,
     ) -> None:
         if address.endswith(":0"):
             self._ports += 1
@@ -149,8 +150,12 @@
         address: str,
         handler: Callable[[trio.abc.Stream], Awaitable[object]],
         task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+        refuse: Callable[[trio.abc.Stream], Awaitable[object]] | None = None,
     ) -> None:
-        await self._place.serve(address, handler, task_status)
+        await self._place.serve(address, handler, task_status, refuse)
+
+    def descriptors(self) -> int:
+        return 1_000_000
 
     async def turn(self) -> None:
         await trio.lowlevel.checkpoint()
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -11,7 +11,9 @@
 import zlib
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import asdict, dataclass, field
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -39,7 +41,7 @@
 from valverouter.edge.listener import Caller
 from valverouter.edge.listing import Incarnations, ListLink
 from valverouter.edge.mail import Departures, Inbox
-from valverouter.edge.surroundings import Surroundings
+from valverouter.edge.surroundings import READ, Surroundings
 from valverouter.interface import (
     Abort,
     Alarm,
@@ -59,8 +61,9 @@
 from valverouter.signalling import setup
 from valverouter.signalling.framing import ProtocolError
 from valverouter.signalling.greeting import Welcome
+from valverouter.signalling.setup import SetupSession
 from valverouter.terms.edge import EdgeTerms
-from valverouter.terms.ini import END, FlawedTermsError
+from valverouter.terms.ini import END, FlawedTermsError, show_span
 
 # A turn that comes so much later than the next beat was due shows that this process did not run.
 STALL_SHOWS = HEARTBEAT + 50_000_000
@@ -68,6 +71,12 @@
 SETTLE_S = 0.005
 # Events handled in one go before alarms are looked at and the streams get their turn.
 BATCH = 16
+# Descriptors that callers leave to the rest: the list, files, what the interpreter holds, and two for each
+# link, since one that is made again may overlap its former self.
+KEPT_DESCRIPTORS = 32
+# For so long a refused caller may take to read why; refusals are told no oftener than once in as long a time.
+REFUSAL_S = 0.1
+REFUSALS_TOLD = 1_000_000_000
 # How often what crossed is written to its file.
 ACCOUNTS_S = 10.0
 
@@ -145,6 +154,9 @@
         self._tell_budgets()
         self._list = ListLink(terms, surroundings, self._inbox, self._clock, self._wait)
         self._draws = 0
+        self._callers = 0
+        self._refused = 0
+        self._refusal_told_at = 0
         self._last_failure = ""
         self._failures_alike = 0
         self._looked_at = self._clock.now()
@@ -182,7 +194,8 @@
             nursery.start_soon(self._list.run)
             nursery.start_soon(self._inbox.ring)
             nursery.start_soon(self._keep_accounts)
-            self.address = await nursery.start(self._surroundings.serve, self.terms.listen, self._serve)
+            serve = partial(self._surroundings.serve, refuse=self._refuse)
+            self.address = await nursery.start(serve, self.terms.listen, self._serve)
             self._log.info("listening", address=self.address, place=self.terms.place)
             task_status.started(self)
             await self._turns()
@@ -241,8 +254,32 @@
             self._reload(Reload(self._former), back=True)
 
     async def _serve(self, stream: trio.abc.Stream) -> None:
+        # Links come before callers: without one no caller is served, and one lost must be made again.
+        room = self._surroundings.descriptors() - KEPT_DESCRIPTORS - 2 * len(self._links)
+        if self._callers >= min(self.terms.links.callers, room):
+            await self._refuse(stream)
+            return
         welcome = Welcome(0, self.terms.name, self.incarnation)
-        await Caller(stream, self.terms.links, self._inbox, welcome, self._departures).run()
+        self._callers += 1
+        try:
+            await Caller(stream, self.terms.links, self._inbox, welcome, self._departures).run()
+        finally:
+            self._callers -= 1
+
+    async def _refuse(self, stream: trio.abc.Stream) -> None:
+        """No room for another caller's connection: it hears so at once, and when to come back."""
+        self._refused += 1
+        if (now := self._clock.now()) - self._refusal_told_at >= REFUSALS_TOLD:
+            self._refusal_told_at = now
+            self._log.warning("callers-refused", callers=self._callers, refused=self._refused)
+        back = show_span(self.terms.deployment.come_back_limit)
+        error = ProtocolError("too-many", f"no room for another connection; come back after {back}")
+        with trio.move_on_after(REFUSAL_S), suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            await stream.send_all(SetupSession().farewell(error))
+            # What it sent is read, or closing would be a reset that takes the word from it.
+            while await stream.receive_some(READ):
+                pass
+        await trio.aclose_forcefully(stream)
 
     async def _keep_accounts(self) -> None:
         while True:
--- a/valverouter/edge/surroundings.py
+++ b/valverouter/edge/surroundings.py
@@ -9,6 +9,7 @@
 import errno
 import gc
 import os
+import resource
 import socket
 import time
 from collections.abc import Awaitable, Callable, Iterator
@@ -19,6 +20,10 @@
 import trio
 
 READ = 64 * 1024
+# What accept says when this process or the machine has nothing left for another connection.
+SHORT = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS))
+# Before accepting is tried again then.
+AGAIN_S = 0.1
 
 Handler = Callable[[trio.abc.Stream], Awaitable[object]]
 
@@ -32,8 +37,16 @@
     async def connect(self, address: str) -> trio.abc.Stream:
         """A stream to a peer; OSError when there is none. The caller limits the wait."""
 
-    async def serve(self, address: str, handler: Handler, task_status: trio.TaskStatus[str]) -> None:
-        """Serves until cancelled, a task for each stream; `started` with the address in use."""
+    async def serve(
+        self, address: str, handler: Handler, task_status: trio.TaskStatus[str], refuse: Handler | None = None
+    ) -> None:
+        """Serves until cancelled, a task for each stream; `started` with the address in use.
+
+        `refuse` gets, one at a time, those that came while there was no descriptor for another.
+        """
+
+    def descriptors(self) -> int:
+        """How many this process may hold at present."""
 
     async def turn(self) -> None:
         """Before each turn of the instance: a checkpoint, and where a test holds it up."""
@@ -123,6 +136,35 @@
         raise trio.BrokenResourceError(str(error)) from error
 
 
+async def _accept(
+    listener: trio.SocketListener, nursery: trio.Nursery, handler: Handler, refuse: Handler
+) -> None:
+    """Accepts until cancelled. With no descriptor left callers would wait in the backlog and hear nothing;
+    the one spare is given up for as long as it takes to tell each that there is no room."""
+    spare = os.open(os.devnull, os.O_RDONLY)
+    try:
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                if error.errno not in SHORT:
+                    raise
+                if spare >= 0:
+                    os.close(spare)
+                    spare = -1
+                with trio.move_on_after(AGAIN_S), suppress(OSError):
+                    await refuse(PlainStream(await listener.accept()))
+                await trio.sleep(AGAIN_S / 10)
+            else:
+                nursery.start_soon(handler, PlainStream(stream))
+            if spare < 0:
+                with suppress(OSError):
+                    spare = os.open(os.devnull, os.O_RDONLY)
+    finally:
+        if spare >= 0:
+            os.close(spare)
+
+
 class Sockets:
     """TCP on the machine. Delayed sending is off: set-ups are small and urgent."""
 
@@ -134,17 +176,22 @@
         return PlainStream(await trio.open_tcp_stream(host, port))
 
     async def serve(
-        self, address: str, handler: Handler, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+        self,
+        address: str,
+        handler: Handler,
+        task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+        refuse: Handler | None = None,
     ) -> None:
         host, port = split(address)
         listeners = await trio.open_tcp_listeners(port, host=host or None)
         bound = listeners[0].socket.getsockname()[1]
         task_status.started(f"{host}:{bound}")
+        async with trio.open_nursery() as nursery:
+            for listener in listeners:
+                nursery.start_soon(_accept, listener, nursery, handler, refuse or handler)
 
-        async def plain(stream: trio.SocketStream) -> None:
-            await handler(PlainStream(stream))
-
-        await trio.serve_listeners(plain, listeners)
+    def descriptors(self) -> int:
+        return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
 
     async def turn(self) -> None:
         await trio.lowlevel.checkpoint()
--- a/valverouter/terms/edge.py
+++ b/valverouter/terms/edge.py
@@ -65,6 +65,7 @@
     hello_within: LongSpan = 2 * SECOND
     waiting_bytes: Positive = 256 * 1024
     open_dialogs: Positive = 20_000
+    callers: Positive = 10_000
     stop_within: Span = 10 * SECOND
 
 
