Flawed files are refused whole at start and at SIGHUP, and cost no turn

Seen: a SIGHUP over a file with a section named [crossing ] ended the instance (IndexError); a file of 2,000 prefixes held every turn for 4.9 s while it was checked, one of 20,000 for minutes, and a stop had to wait for it; terms that pass and start something useless were accepted (name of 129 characters, come_back_limit 2h, waiting_bytes 100, tip_multiple inf, spans of 400 digits, [traffic ], listen 'a b:1'); a refusal named neither generation nor file. Ruled out: load_settled (two readings agreed). At fault: cli _signals (caught FlawedTermsError alone, checked in the turn), terms/crossing.py, terms/ini.py only, bounds in terms/edge.py, no bound on prefixes or on a file's length.

--- a/tests/rig.py
+++ b/tests/rig.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from types import UnionType
 from typing import Any
 
 import trio
@@ -86,7 +87,7 @@
         self._stirred.set()
         self._stirred = trio.Event()
 
-    async def next(self, kind: type, within: float = 20.0) -> Any:
+    async def next(self, kind: type | UnionType, within: float = 20.0) -> Any:
         """The next message of a kind that no `next` has given yet; fails when it does not come in time."""
         with trio.fail_after(within):
             while True:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -468,7 +468,7 @@
             await trio.sleep(6)  # news of a failure at its one server must fade first
             began = trio.current_time()
             await caller.send(dial(f"to {name}", no_answer=4 * SECOND))
-            answer = await caller.next(setup.Declined | setup.Aborted)  # type: ignore[arg-type]
+            answer = await caller.next(setup.Declined | setup.Aborted)
             took = trio.current_time() - began
             assert took == pytest.approx({"gw-1": 2.0, "other": 3.95}[name], abs=0.01), answer
         for _ in range(20):  # the one server is shunned now: declined at once
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -30,17 +30,9 @@
 from valverouter.signalling.framing import ProtocolError, frame
 from valverouter.signalling.greeting import Hello
 from valverouter.signalling.serverlist import Row
-from valverouter.signalling.setup import (
-    Aborted,
-    Declined,
-    Load,
-    OfLeg,
-    Provisional,
-    Reported,
-    Setup,
-    SetupSession,
-    Stands,
-)
+from valverouter.signalling.setup import Aborted, Declined, Load, Reported, Setup, SetupSession, Stands
+from valverouter.terms.edge import load_edge_terms
+from valverouter.terms.ini import FlawedTermsError
 
 # Troubled connections
 
@@ -122,10 +114,7 @@
         outbox = rig.edge._links["s0"]._outbox
         assert outbox is not None
         outbox.put(bytes(3 * ROOM))  # more than the stream takes: what follows waits behind it
-        answer = await caller.next(OfLeg)
-        while isinstance(answer, Provisional):
-            answer = await caller.next(OfLeg)
-        assert isinstance(answer, Aborted | Declined)
+        answer = await caller.next(Aborted | Declined)
         assert trio.current_time() - began <= 3
         assert answer.dialog == "d1" and "d1" not in rig.edge._dialogs
 
@@ -150,6 +139,83 @@
     assert sorted(went) == [0, 1, 2, 3, 4]
 
 
+# Bad configuration
+
+LONG = ",".join(map(str, range(100_000, 102_000)))
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "says"),
+    [
+        ("name = e0", "name = " + "e" * 129, "name: "),
+        ("listen = edge:1", "listen = a b:1", "listen: 'a b:1' is no HOST:PORT"),
+        ("listen = edge:1", "listen = edge:²", "is no HOST:PORT"),
+        ("warm_after = 15s", "come_back_limit = 2h", "come_back_limit: '2h'"),
+        ("warm_after = 15s", "warm_after = " + "9" * 400 + "s", "warm_after: "),
+        ("cold_share", "edge_proxies = 9999999999999\ncold_share", "given twice"),
+        ("edge_proxies = 1", "edge_proxies = " + "9" * 30, "edge_proxies: "),
+        ("tip_multiple = 2.5", "tip_multiple = inf", "tip_multiple: 'inf'"),
+        ("cold_share", "[links]\nwaiting_bytes = 100\n[fleet]\ncold_share", "given twice"),
+        ("[traffic once]", "[links]\nwaiting_bytes = 100\n[traffic once]", "waiting_bytes: '100'"),
+        ("[traffic once]", "[crossing ]\nlegs = 1\n[traffic once]", "a name must follow"),
+        ("[traffic once]", "[traffic ]\nobjective = 1s\n[traffic once]", "a name must follow"),
+        ("[traffic once]", "[traffic  plain]\nobjective = 1s\n[traffic once]", "a name must follow"),
+        ("[traffic once]", f"[attempts a]\nlegs = 2\nprefix = {LONG}\n[traffic once]", "at most 1000 are"),
+        ("[traffic once]", "#" * 300_000 + "\n[traffic once]", "longer than"),
+    ],
+)
+def test_terms_that_would_start_something_useless_are_refused_with_line_and_reason(
+    tmp_path: Path, old: str, new: str, says: str
+) -> None:
+    path = tmp_path / "edge.ini"
+    path.write_text(INI.replace(old, new, 1))
+    with pytest.raises(FlawedTermsError) as refused:
+        load_edge_terms(path)
+    assert any(says in str(flaw) and str(path) in str(flaw) for flaw in refused.value.flaws)
+
+
+async def test_whatever_lies_there_at_sighup_the_old_terms_act_on_and_it_is_told(tmp_path: Path) -> None:
+    async with drill(tmp_path) as one:
+        one.servers["s0"].answer = lambda asked: (
+            Stands(asked.dialog, asked.leg) if "no" not in asked.dialog else None
+        )
+        good = one.ini(more="[attempts a]\nlegs = 2\n# end of terms\n")
+        await one.start(good)
+        caller = await one.caller()
+        held = await one.caller("held")
+        await held.send(dial("d-no-answer", no_answer=6 * SECOND))
+        before = one.holds()
+        flawed = [
+            None,
+            b"\xff\xfe",
+            good[: good.index("edge_proxies") + 5].encode(),
+            good.replace("# end of terms", "").encode(),
+            good.replace("legs = 2", "legs = two").encode(),
+            good.replace("[attempts a]", "[crossing ]\nlegs = 1\n[attempts a]").encode(),
+            good.replace("[attempts a]", f"[attempts b]\nlegs = 1\nprefix = {LONG}\n[attempts a]").encode(),
+            good.replace("legs = 2", "come_back = 90s").encode(),
+        ]
+        for at, data in enumerate(flawed, 1):
+            one.file.unlink() if data is None else one.file.write_bytes(data)
+            for _ in range(5):  # repeated quickly it is read once more at most
+                one.process.send_signal(signal.SIGHUP)
+            told = await one.event("reload-refused", many=len(one.events("reload-refused")) + 1)
+            assert told["generation"] == 1 and told["file"] == str(one.file) and told["why"]
+            await one.stands(f"d{at}", caller)
+            await trio.sleep(0.3)
+        assert len(one.events("reload-refused")) <= 2 * len(flawed) and not one.events("reloaded")
+        one.file.write_text(good.replace("legs = 2", "legs = 1"))
+        one.process.send_signal(signal.SIGHUP)
+        assert (await one.event("reloaded"))["generation"] == 2
+        await one.stands("d-after", caller)
+        assert await held.next(Declined | Aborted)  # whose leg was out all the while
+        after = one.holds()
+        assert after["descriptors"] == before["descriptors"] and not one.other_lines
+        one.process.send_signal(signal.SIGHUP)
+        one.process.send_signal(signal.SIGTERM)
+        assert await one.ended() == 0
+
+
 # Running out
 
 
--- a/valverouter/cli/__main__.py
+++ b/valverouter/cli/__main__.py
@@ -12,7 +12,7 @@
 import tempfile
 from collections import Counter
 from collections.abc import Callable
-from contextlib import closing
+from contextlib import closing, suppress
 from pathlib import Path
 
 import click
@@ -86,15 +86,35 @@
 
 
 async def _signals(proxy: EdgeProxy, file: Path) -> None:
+    """However often it is asked, one reading goes on at a time and one more waits; a stop waits for none."""
+    ask, asked = trio.open_memory_channel[None](1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_reloads, proxy, file, asked)
+        await _heard(proxy, ask)
+
+
+async def _heard(proxy: EdgeProxy, ask: trio.MemorySendChannel[None]) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async for number in signals:
             if number != signal.SIGHUP:
                 proxy.stop()
                 continue
-            try:
-                proxy.reload(await load_settled(file))
-            except FlawedTermsError as error:
-                log.error("reload-refused", why=str(error))
+            with suppress(trio.WouldBlock):
+                ask.send_nowait(None)
+
+
+async def _reloads(proxy: EdgeProxy, file: Path, asked: trio.MemoryReceiveChannel[None]) -> None:
+    """Reads FILE when asked. Whatever it holds, the terms that act stay and the instance goes on: a fault of
+    ours in reading it must not be worse than the file."""
+    async for _ in asked:
+        told = {"generation": proxy.generation, "file": str(file)}
+        try:
+            terms = await load_settled(file)
+            proxy.reload(terms, await trio.to_thread.run_sync(proxy.book_of, terms), str(file))
+        except FlawedTermsError as error:
+            log.error("reload-refused", why=str(error), flaws=len(error.flaws), **told)
+        except Exception as error:
+            log.error("reload-refused", why=f"{type(error).__name__}: {error}", exc_info=True, **told)
 
 
 @main.command("day")
--- a/valverouter/edge/events.py
+++ b/valverouter/edge/events.py
@@ -11,6 +11,7 @@
 from valverouter.signalling.serverlist import Row
 
 if TYPE_CHECKING:
+    from valverouter.edge.attempting import AttemptBook
     from valverouter.edge.links import Link
     from valverouter.edge.listener import Caller
     from valverouter.terms.edge import EdgeTerms
@@ -77,9 +78,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Reload:
-    """Other terms, whole and checked; what can't change while running is told and left as it is."""
+    """Other terms, whole and checked; what can't change while running is told and left as it is.
+
+    `book`: made of them outside the turn, which it would hold up for as long as their check takes.
+    """
 
     terms: EdgeTerms
+    book: AttemptBook | None = None
+    file: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -207,25 +207,37 @@
         """Declines what comes from here on, and ends once every dialog here has its answer."""
         self._inbox.put(Stop())
 
-    def reload(self, terms: EdgeTerms) -> None:
-        """Other terms while running. Today the crossing terms change; the others wait for a new start."""
-        self._inbox.put(Reload(terms))
+    def reload(self, terms: EdgeTerms, book: AttemptBook | None = None, file: str = "") -> None:
+        """Other terms while running: those of crossing and attempts change, the others wait for a new start.
+
+        `book`: what `book_of` made of them, in a thread where the check may take long.
+        """
+        self._inbox.put(Reload(terms, book, file))
+
+    def book_of(self, terms: EdgeTerms) -> AttemptBook | None:
+        return AttemptBook(self._kept(terms)) if terms.attempts else None
+
+    def _kept(self, new: EdgeTerms) -> EdgeTerms:
+        """The present terms with what of the new ones may change while running."""
+        return msgspec.structs.replace(
+            self.terms, crossing=new.crossing, attempts=new.attempts, ends=new.ends
+        )
 
     def _reload(self, event: Reload, back: bool = False) -> None:
         new, old = event.terms, self.terms
         if old.ends and not new.ends:
             # A file cut off at a line's end may pass every check, with half of its sections.
-            self._log.error("reload-refused", why=f"the file was cut off: its last line is not {END!r}")
+            self._refuse_reload(event, f"the file was cut off: its last line is not {END!r}")
             return
-        keeps = msgspec.structs.replace(old, crossing=new.crossing, attempts=new.attempts, ends=new.ends)
+        keeps = self._kept(new)
         changes = [name for name in old.__struct_fields__ if getattr(keeps, name) != getattr(new, name)]
         try:
             # Dialogs under way carry the attempt terms that they began with; the book is for those to come.
-            attempts = AttemptBook(keeps) if new.attempts else None
+            attempts = event.book or self.book_of(new)
             if self.crossing is not None and new.crossing is not None:
                 self.crossing.change(new.crossing, self._now)
         except (ValueError, FlawedTermsError) as error:
-            self._log.error("reload-refused", why=str(error))
+            self._refuse_reload(event, str(error))
             return
         self._attempts, self.terms = attempts, keeps
         self._tell_budgets()
@@ -234,7 +246,12 @@
         self._guard.changed(self._now, watch=not back)
         if (self.crossing is None) != (new.crossing is None):
             changes.append("crossing")
-        self._log.info("reloaded", generation=self.generation, waits_for_a_start=changes)
+        self._log.info(
+            "reloaded", generation=self.generation, file=event.file, back=back, waits_for_a_start=changes
+        )
+
+    def _refuse_reload(self, event: Reload, why: str) -> None:
+        self._log.error("reload-refused", generation=self.generation, file=event.file, why=why)
 
     def _tell_budgets(self) -> None:
         book = self._attempts
--- a/valverouter/terms/attempts.py
+++ b/valverouter/terms/attempts.py
@@ -16,6 +16,8 @@
     "first_attempts": ("free", "no budget holds a first attempt back"),
 }
 SECTIONS_MOST = 200
+# Of all sections together: they are checked against each other, which takes seconds beyond.
+PREFIXES_MOST = 1_000
 
 Prefixes = Annotated[tuple[str, ...], Meta(extra={"as": "prefixes"})]
 ServerNumbers = Annotated[tuple[int, ...], Meta(extra={"as": "numbers"})]
@@ -134,6 +136,11 @@
                 ini.flaw(section, "prefix", f"{prefix} matches nothing: numbers have no nought in front")
         lines = {key: ini.line(section, key) for key in ini.sections[section]}
         found.append(AttemptSection(name, ini.name, ini.line(section), keys, lines))
+    if (many := sum(len(section.keys.prefix) for section in found)) > PREFIXES_MOST:
+        longest = max(found, key=lambda one: len(one.keys.prefix))
+        why = f"{many} prefixes in all sections together, at most {PREFIXES_MOST} are taken"
+        ini.flaw(f"attempts {longest.name}", "prefix", why)
+        return AttemptSections()
     return AttemptSections(tuple(found), groups, sets)
 
 
--- a/valverouter/terms/crossing.py
+++ b/valverouter/terms/crossing.py
@@ -60,6 +60,8 @@
     for words in names:
         section = f"crossing {' '.join(words)}"
         one = ini.read(section, CrossingOf)
+        if not words:
+            continue  # told already
         if words[0] not in types:
             ini.flaw(section, "", f"there is no [traffic {words[0]}]")
         if len(words) not in (1, 3):
--- a/valverouter/terms/edge.py
+++ b/valverouter/terms/edge.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from pathlib import Path
 from typing import Annotated
 
@@ -30,6 +31,13 @@
 ATTEMPTS = ("attempts", "trunk-group", "server-set")
 
 Legs = Annotated[int, Meta(ge=1, le=6)]
+# What the set-up protocol carries: a name of so many characters, spans up to an hour, frames of 64 KiB. Terms
+# past that would start an instance whose every message its peers refuse.
+PeerName = Annotated[str, Meta(min_length=1, max_length=128)]
+HOUR = 3_600 * SECOND
+ToldSpan = Annotated[int, Meta(ge=0, le=HOUR, extra={"as": "span"})]
+Margin = Annotated[int, Meta(gt=0, lt=HOUR, extra={"as": "span"})]
+Waiting = Annotated[int, Meta(ge=64 * 1024 + 4, le=10**9)]
 
 
 class Traffic(Struct, frozen=True):
@@ -49,7 +57,7 @@
     list_is_pushed: bool = True
     legs_allowed: Legs = 6
     may_cancel: bool = True
-    come_back_limit: Span = 2 * SECOND
+    come_back_limit: ToldSpan = 2 * SECOND
     release_wait: Span = 300 * MS
     cold_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
     tip_multiple: Rate = 1.0
@@ -63,7 +71,7 @@
     connect_within: LongSpan = 500 * MS
     reconnect_least: Span = 0
     hello_within: LongSpan = 2 * SECOND
-    waiting_bytes: Positive = 256 * 1024
+    waiting_bytes: Waiting = 256 * 1024
     open_dialogs: Positive = 20_000
     callers: Positive = 10_000
     stop_within: Span = 10 * SECOND
@@ -77,7 +85,7 @@
 
 
 class _Edge(Struct, frozen=True):
-    name: Named
+    name: PeerName
     listen: Named
     list_service: Named
     place: Whole = 0
@@ -87,7 +95,7 @@
     list_cache: str = ""
     accounts: str = ""
     returns: bool = False
-    answer_margin: LongSpan = 50 * MS
+    answer_margin: Margin = 50 * MS
 
 
 class EdgeTerms(Struct, frozen=True):
@@ -207,11 +215,12 @@
         await trio.sleep(again / SECOND)
         before, now = now, IniFile.load(path)
         if before.text == now.text:
-            return edge_terms(now)
+            return await trio.to_thread.run_sync(edge_terms, now)
     now.flaw("", "", f"still being written after {tries} readings", 0)
     raise FlawedTermsError(now.flaws)
 
 
 def _address(text: str) -> bool:
     host, colon, port = text.rpartition(":")
-    return bool(host and colon) and port.isdigit() and int(port) < 65_536
+    sound = bool(host and colon) and not re.search(r"\s", host) and port.isascii() and port.isdigit()
+    return sound and int(port) < 65_536
--- a/valverouter/terms/grammar.py
+++ b/valverouter/terms/grammar.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from decimal import Decimal
 from typing import Any
@@ -108,8 +109,8 @@
 
 
 def _once(items: list[Any]) -> tuple[Any, ...]:
-    for item in items:
-        if items.count(item) > 1:
+    for item, times in Counter(items).items():
+        if times > 1:
             raise ValueError(f"{item!r} is given twice")
     return tuple(items)
 
--- a/valverouter/terms/ini.py
+++ b/valverouter/terms/ini.py
@@ -22,15 +22,19 @@
 READERS = {start: reader(start) for start in SHOWN}
 # The last line of a file that says where it ends: what is read without it was cut off.
 END = "# end of terms"
+# A file is read and checked while calls are routed: it must not take long, whatever lies at its path.
+FILE_MOST = 256 * 1024
+# Spans that reckoning with floats keeps exact enough, and that no timer refuses: three years.
+SPAN_MOST = 10**17
 
-Span = Annotated[int, Meta(ge=0, extra={"as": "span"})]
-LongSpan = Annotated[int, Meta(gt=0, extra={"as": "span"})]
+Span = Annotated[int, Meta(ge=0, le=SPAN_MOST, extra={"as": "span"})]
+LongSpan = Annotated[int, Meta(gt=0, le=SPAN_MOST, extra={"as": "span"})]
 Share = Annotated[float, Meta(ge=0, le=1)]
 Words = Annotated[tuple[str, ...], Meta(extra={"as": "words"})]
 Numbers = Annotated[tuple[int, ...], Meta(extra={"as": "words"})]
 Whole = Annotated[int, Meta(ge=0)]
-Positive = Annotated[int, Meta(ge=1)]
-Rate = Annotated[float, Meta(gt=0)]
+Positive = Annotated[int, Meta(ge=1, le=10**12)]
+Rate = Annotated[float, Meta(gt=0, le=1e12)]
 PerSecond = Annotated[float, Meta(gt=0, extra={"as": "rate"})]
 Named = Annotated[str, Meta(min_length=1)]
 
@@ -108,11 +112,16 @@
     def load(cls, path: Path) -> IniFile:
         """The file at a path; one that can't be read is a flaw like any other."""
         try:
-            return cls(path.read_text("utf-8"), str(path))
+            with path.open("rb") as file:
+                data = file.read(FILE_MOST + 1)
+            if len(data) <= FILE_MOST:
+                return cls(data.decode("utf-8-sig"), str(path))
+            reason = f"longer than {FILE_MOST} bytes"
         except (OSError, UnicodeDecodeError) as error:
-            empty = cls("", str(path))
-            empty.flaw("", "", getattr(error, "strerror", None) or "not UTF-8 text")
-            return empty
+            reason = getattr(error, "strerror", None) or "not UTF-8 text"
+        empty = cls("", str(path))
+        empty.flaw("", "", reason)
+        return empty
 
     def line(self, section: str, key: str = "") -> int:
         return self._lines.get((section, key), self._lines.get((section, ""), 0))
@@ -130,8 +139,14 @@
         """Notes sections that nothing reads."""
         known = [*single, *(f"{kind} NAME" for kind in named)]
         for section in self.sections:
-            if section not in single and section.split(" ")[0] not in named:
+            kind, _, name = section.partition(" ")
+            if section in single:
+                continue
+            if kind not in named:
                 self.flaw(section, "", f"unknown section; known are {', '.join(known)}")
+            elif not name or name != name.strip():
+                # Read by its stripped name it would be taken for another section, or for none.
+                self.flaw(section, "", f"a name must follow, as in [{kind} NAME], with one space")
 
     def read(self, section: str, sort: type[Sort], required: bool = True) -> Sort | None:
         """One section as a Struct; None when it is flawed, or absent and `required`."""
