The list's word waits for no disk; cached ages follow no wall clock; no storm of asking

Three faults of the list's link. Ruled out: the replica (numbers and gaps were right). At fault: listing.py cached and _keep (wall clock, awaited in the reader, suppress), run (tries back to 1). Ages follow our own clock and are not carried over a start; a live word that shows a server warm puts a cached one right; the cache has a task of its own and says list-cache-not-kept once.

--- a/tests/rig.py
+++ b/tests/rig.py
@@ -182,7 +182,7 @@
     def _listing(self, message: Any) -> Any:
         if isinstance(message, Hello):
             return Welcome(1, "list")
-        return self.register.answer(message)[0] if isinstance(message, Watch) else None
+        return next(iter(self.register.answer(message)), None) if isinstance(message, Watch) else None
 
     async def caller(self, name: str = "c0") -> Peer:
         stream = await self.network.connect("edge:1")
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -23,13 +23,16 @@
 from tests.drilling import Drill, drill
 from tests.rig import INI, SECOND, Peer, dial, rigged
 from valverouter.cli.logs import Lines
-from valverouter.days.virtual import ROOM
+from valverouter.days.virtual import EPOCH, ROOM
+from valverouter.edge.clock import Clock
 from valverouter.edge.links import say_farewell
+from valverouter.edge.listing import ListLink
 from valverouter.edge.mail import Inbox
+from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import PlainStream, Sockets
 from valverouter.signalling.framing import ProtocolError, frame
 from valverouter.signalling.greeting import Hello
-from valverouter.signalling.serverlist import Row
+from valverouter.signalling.serverlist import ListSession, Row, Snapshot, Watch
 from valverouter.signalling.setup import Aborted, Declined, Load, Reported, Setup, SetupSession, Stands
 from valverouter.terms.edge import load_edge_terms
 from valverouter.terms.ini import FlawedTermsError
@@ -329,3 +332,110 @@
     numbers = [int(row) for row in rows if row.isdigit()]
     lost = sum(int(row.split()[-1][:-1]) for row in rows if b"logs-lost" in row)
     assert numbers == sorted(set(numbers)) and len(numbers) + lost >= 100_000 and lost > 0
+
+
+# The list service, its cache, and clocks
+
+
+@pytest.mark.parametrize("kept", ["before", "after"])
+async def test_a_wall_clock_set_forward_makes_no_cold_server_look_warm(
+    autojump_clock: MockClock, kept: str
+) -> None:
+    async with rigged(1) as rig:
+        fresh = await rig.server("s1", 1, incarnation=5, age=0)
+        await rig.tell(fresh.row())
+        again = ListLink(rig.terms, rig.surroundings, Inbox(), Clock(0), lambda tries: 0)
+        rig.surroundings.wall = lambda: EPOCH + 3_600 * SECOND  # type: ignore[method-assign]
+        if kept == "before":
+            rows = {row.server: row for row in await again.cached()}
+        await rig.tell(rig.servers["s0"].row())  # kept once more, by the wrong clock
+        if kept == "after":
+            rows = {row.server: row for row in await again.cached()}
+        assert rows["s1"].age is not None and rows["s1"].age < SECOND
+        assert rows["s0"].age is not None and rows["s0"].age >= 10**15
+
+
+async def test_a_disk_that_hangs_holds_up_neither_the_lists_word_nor_the_stop(
+    autojump_clock: MockClock,
+) -> None:
+    async with rigged(2) as rig:
+
+        async def hangs(path: str, data: bytes) -> None:
+            await trio.sleep_forever()
+
+        rig.surroundings.keep = hangs  # type: ignore[method-assign]
+        await rig.tell(rig.servers["s1"].row())
+        await rig.tell(rig.servers["s0"].row("draining"))
+        caller = await rig.caller()
+        await caller.send(dial())
+        assert (await rig.servers["s1"].link.next(Setup)).dialog == "d1"
+        assert not rig.servers["s0"].link.all(Setup)
+
+
+@pytest.mark.parametrize(
+    "error", [OSError(28, "No space left on device"), RuntimeError("can't start new thread")]
+)
+async def test_a_list_cache_that_can_not_be_kept_is_told_once_and_costs_nothing_else(
+    autojump_clock: MockClock, error: Exception
+) -> None:
+    with capture_logs() as logs:
+        async with rigged(1) as rig:
+            whole = rig.surroundings.keep
+
+            async def refuses(path: str, data: bytes) -> None:
+                raise error
+
+            rig.surroundings.keep = refuses  # type: ignore[method-assign]
+            for _ in range(3):
+                await rig.tell(rig.servers["s0"].row())
+            rig.surroundings.keep = whole  # type: ignore[method-assign]
+            await rig.tell(rig.servers["s0"].row("draining"))
+            assert b"draining" in rig.network.files["cache"]
+            assert rig.edge._list.is_up
+    told = [line["event"] for line in logs if "list-cache" in line["event"]]
+    assert told == ["list-cache-not-kept", "list-cache-kept"]
+
+
+async def test_a_list_service_that_closes_after_each_word_is_not_stormed(autojump_clock: MockClock) -> None:
+    async with rigged(1) as rig:
+        times = 0
+
+        async def closes(stream: trio.abc.Stream) -> None:
+            nonlocal times
+            times += 1
+            rig.list = peer = Peer(stream, ListSession())
+
+            def once(message: Any) -> Any:
+                if isinstance(message, Watch):
+                    rig.nursery.start_soon(later, peer)
+                    return Snapshot(f"epoch {times}", 1, list(rig.register.rows.values()))
+                return rig._listing(message)
+
+            async def later(peer: Peer) -> None:
+                await trio.sleep(0.01)
+                await peer.cut()
+
+            await peer.read(once)
+
+        rig.network.serving["list:1"] = lambda stream: rig.nursery.start_soon(closes, stream)
+        assert rig.list is not None
+        await rig.list.cut()
+        await trio.sleep(60)
+        assert 20 <= times <= 90  # about one a second, each at a moment of its own
+
+
+async def test_a_cached_start_is_set_right_once_the_list_tells_that_the_server_is_warm(
+    autojump_clock: MockClock,
+) -> None:
+    async with rigged(1) as rig:
+        fresh = await rig.server("s1", 1, incarnation=5, age=0)
+        await rig.tell(fresh.row())
+        rig.scope.cancel()
+        await trio.sleep(100)
+        fresh.age = 100 * SECOND
+        rig.register.change([fresh.row()])
+        rig.edge = EdgeProxy(rig.terms, rig.surroundings)
+        await rig.nursery.start(rig.run_edge)
+        await trio.sleep(0.1)
+        far = rig.edge._driver.control._fars["s1"]
+        assert rig.edge._clock.now() - far.entry.started_at > 99 * SECOND
--- a/valverouter/edge/listing.py
+++ b/valverouter/edge/listing.py
@@ -3,8 +3,6 @@
 
 from __future__ import annotations
 
-from contextlib import suppress
-
 import msgspec
 import structlog
 import trio
@@ -36,10 +34,15 @@
     Ages travel, moments don't: clocks differ. The first word of an incarnation fixes its moment, since a
     second reckoning would differ by the travel time and pass for a fresh start. Word of an earlier
     incarnation than one we know says nothing of when the present one began, however late it comes.
+    Only a cached word is put right by a live one, and only where that shows a server to be warm: then no cold
+    budget is at stake that a second reckoning could open again.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, warm_after: int = 0) -> None:
+        self._warm_after = warm_after
         self._known: dict[str, tuple[int, int]] = {}
+        # Servers known by the cached list alone; each leaves with the live list's first word of it.
+        self._cached: set[str] = set()
 
     def started_at(self, server: str, incarnation: int, age: int | None, now: int) -> int:
         """The moment; 0 is long ago, as the decisions have it."""
@@ -50,11 +53,20 @@
 
     def keep(self, servers: set[str]) -> None:
         self._known = {id_: known for id_, known in self._known.items() if id_ in servers}
+        self._cached &= servers
 
     def forget(self, server: str) -> None:
         self._known.pop(server, None)
-
-    def entry(self, row: Row, now: int) -> ServerEntry:
+        self._cached.discard(server)
+
+    def entry(self, row: Row, now: int, cached: bool = False) -> ServerEntry:
+        if cached:
+            self._cached.add(row.server)
+        elif row.server in self._cached:
+            self._cached.discard(row.server)
+            warm = row.age is None or row.age >= self._warm_after
+            if warm and row.incarnation == self._known[row.server][0]:
+                del self._known[row.server]
         started_at = self.started_at(row.server, row.incarnation, row.age, now)
         return ServerEntry(row.server, row.number, row.phase == "in-service", started_at, row.region)
 
@@ -74,7 +86,8 @@
         self.replica = Replica()
         self.is_up = False
         self.tries = 0
-        # When each row was told, by the wall clock; follows the replica's rows.
+        self._news = trio.Event()
+        # When each row was told, by our own clock; follows the replica's rows.
         self._told: dict[str, int] = {}
         if terms.deployment.list_is_pushed:
             self._asked.set()
@@ -83,10 +96,10 @@
         self._asked.set()
 
     async def cached(self) -> list[Row]:
-        """The list as an earlier start left it, its servers' ages carried on by the wall clock.
+        """The list as an earlier start left it, with its servers' ages of then.
 
-        A wall clock set back would make them younger than they were told; they keep the age told then. Too
-        young is safe: a server taken for colder than it is only gets less.
+        Carried on by the wall clock, a clock set forward made a cold server look warm: rule 4. Too young is
+        safe, a server taken for colder than it is only gets less, until the list tells its age.
         """
         path = self._terms.list_cache
         data = await self._surroundings.load(path) if path else None
@@ -97,18 +110,19 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             log.warning("list-cache-unreadable", path=path, why=str(error))
             return []
-        past = max(0, self._surroundings.wall() - kept.wall)
+        past = self._surroundings.wall() - kept.wall
         log.info("list-cached", servers=len(kept.rows), age_s=past // 10**9)
-        return [_older(row, past) for row in kept.rows]
+        return kept.rows
 
     async def run(self) -> None:
         while True:
             await self._asked.wait()
-            why = "failed"
+            why, began = "failed", trio.current_time()
             with costs_this_alone("list", self._terms.list_service):
                 why = await self._once()
             was_up, self.is_up = self.is_up, False
-            self.tries = 1 if was_up else self.tries + 1
+            # One that closes after each word must not be asked ten times a second by every edge proxy.
+            self.tries = 1 if was_up and trio.current_time() - began >= 1 else self.tries + 1
             log.warning("list-down", service=self._terms.list_service, why=why, tries=self.tries)
             if not self._terms.deployment.list_is_pushed and not was_up:
                 # The decisions say when to ask again; a link that had served is made again at once by us.
@@ -138,7 +152,7 @@
                                 self.is_up = True
                                 if (answer := self._heard(message)) is not None:
                                     await stream.send_all(session.send(answer))
-                        await self._keep()
+                        self._news.set()
                     session.end()
             except ProtocolError as error:
                 await say_farewell(stream, session, error)
@@ -152,8 +166,8 @@
     def _heard(self, message: Snapshot | Change) -> object:
         rows, answer = self.replica.heard(message)
         if rows is not None:
-            wall = self._surroundings.wall()
-            self._told |= {row.server: wall for row in rows}
+            now = self._clock.now()
+            self._told |= {row.server: now for row in rows}
             self._told = {id_: at for id_, at in self._told.items() if id_ in self.replica.rows}
             scope = ListScope.WHOLE if isinstance(message, Snapshot) else ListScope.CHANGES
             self._inbox.put_first(ListHeard(scope, rows))
@@ -161,13 +175,28 @@
             log.warning("list-gap", have=self.replica.number, told=message.number)
         return answer
 
-    async def _keep(self) -> None:
-        if self._terms.list_cache:
-            wall = self._surroundings.wall()
-            rows = [_older(row, wall - self._told[row.server]) for row in self.replica.rows.values()]
-            kept = Kept(wall, rows)
-            with suppress(OSError):
-                await self._surroundings.keep(self._terms.list_cache, msgspec.json.encode(kept))
+    async def keep(self) -> None:
+        """Keeps what was heard last, in a task of its own: a hung disk must not hold up the list's word.
+
+        A disk that refuses costs a later start its list, which is told once, and once more when it is well.
+        """
+        path, told = self._terms.list_cache, False
+        while path:
+            await self._news.wait()
+            self._news = trio.Event()
+            now = self._clock.now()
+            rows = [_older(row, now - self._told[row.server]) for row in self.replica.rows.values()]
+            kept = Kept(self._surroundings.wall(), rows)
+            try:
+                await self._surroundings.keep(path, msgspec.json.encode(kept))
+            except Exception as error:  # no thread to be had is a RuntimeError
+                if not told:
+                    log.warning("list-cache-not-kept", path=path, why=str(error))
+                told = True
+            else:
+                if told:
+                    log.info("list-cache-kept", path=path)
+                told = False
 
 
 def _older(row: Row, span: int) -> Row:
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -77,6 +77,8 @@
 # For so long a refused caller may take to read why; refusals are told no oftener than once in as long a time.
 REFUSAL_S = 0.1
 REFUSALS_TOLD = 1_000_000_000
+# For so long the end waits for a disk that hangs.
+LAST_FILE_S = 2.0
 # How often what crossed is written to its file.
 ACCOUNTS_S = 10.0
 
@@ -143,7 +145,7 @@
         self._alarms = Alarms()
         self._dialogs: dict[str, Taken] = {}
         self._links: dict[str, Link] = {}
-        self._incarnations = Incarnations()
+        self._incarnations = Incarnations(terms.deployment.warm_after)
         self._attempts = AttemptBook(terms) if terms.attempts else None
         self.generation = 1
         self._guard = Guard()
@@ -192,6 +194,7 @@
             if rows:
                 self._inbox.put_first(ListHeard(ListScope.CACHED, rows))
             nursery.start_soon(self._list.run)
+            nursery.start_soon(self._list.keep)
             nursery.start_soon(self._inbox.ring)
             nursery.start_soon(self._keep_accounts)
             serve = partial(self._surroundings.serve, refuse=self._refuse)
@@ -200,7 +203,8 @@
             task_status.started(self)
             await self._turns()
             nursery.cancel_scope.cancel()
-        await self._write_accounts()
+        with trio.move_on_after(LAST_FILE_S):
+            await self._write_accounts()
         self._log.info("stopped", answers=dict(self.tally.answers), failures=self.tally.failures)
 
     def stop(self) -> None:
@@ -688,7 +692,8 @@
         whole = heard.scope in (ListScope.WHOLE, ListScope.CACHED)
         if whole:
             self._incarnations.keep({row.server for row in heard.rows})
-        entries = [self._incarnations.entry(row, now) for row in heard.rows]
+        cached = heard.scope is ListScope.CACHED
+        entries = [self._incarnations.entry(row, now, cached) for row in heard.rows]
         self._guarded("", self._driver.server_list, heard.scope, entries)
         listed = {row.server for row in heard.rows}
         for row in heard.rows:
--- a/valverouter/edge/surroundings.py
+++ b/valverouter/edge/surroundings.py
@@ -203,7 +203,8 @@
             return None
 
     async def keep(self, path: str, data: bytes) -> None:
-        await trio.to_thread.run_sync(_replace, Path(path), data)
+        # A disk that hangs keeps its thread, not the instance, which could not end otherwise.
+        await trio.to_thread.run_sync(_replace, Path(path), data, abandon_on_cancel=True)
 
 
 def _replace(path: Path, data: bytes) -> None:
