Silent, misdirected and left-over links are given up; tables follow no stranger's words

Four faults seen. (1) A half-open link took one leg after another for as long as the kernel kept it: 12 of 12 dialogs in 30 s, and idle ones for good; at fault: no silence limit in Link, no keepalive in PlainStream. Now [links] silence (30 s): something asked and nothing heard gives the link up; the kernel probes idle ones. (3) Links to servers gone without a word stayed: 19 of 19 after 19 deploys, with descriptor and task; at fault: _unwant closed nothing. (4) Time-outs of ended legs stayed up to the caller's no-answer time (1,500 entries of an hour each), the guard kept every unknown traffic type and the tally every reason a server made up. Ruled out: the decisions' own tables.

--- a/tests/rig.py
+++ b/tests/rig.py
@@ -98,7 +98,7 @@
                         return message
                 await self._stirred.wait()
 
-    def all(self, kind: type) -> list[Any]:
+    def all(self, kind: type | UnionType) -> list[Any]:
         return [message for _, message in self.heard if isinstance(message, kind)]
 
     def at(self, kind: type, nth: int = 0) -> float:
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -33,7 +33,7 @@
 from valverouter.signalling.framing import ProtocolError, frame
 from valverouter.signalling.greeting import Hello
 from valverouter.signalling.serverlist import ListSession, Row, Snapshot, Watch
-from valverouter.signalling.setup import Aborted, Declined, Load, Reported, Setup, SetupSession, Stands
+from valverouter.signalling.setup import Aborted, Declined, Ended, Load, Reported, Setup, SetupSession, Stands
 from valverouter.terms.edge import load_edge_terms
 from valverouter.terms.ini import FlawedTermsError
 
@@ -439,3 +439,85 @@
         await trio.sleep(0.1)
         far = rig.edge._driver.control._fars["s1"]
         assert rig.edge._clock.now() - far.entry.started_at > 99 * SECOND
+
+
+# Links that look up and are not
+
+
+async def test_a_link_that_went_silent_is_given_up_and_made_again(autojump_clock: MockClock) -> None:
+    async with rigged(1, INI + "[links]\nsilence = 20s\n") as rig:
+        server = rig.servers["s0"]
+        caller = await rig.caller()
+        await trio.sleep(100)
+        assert len(server.links) == 1  # idle is not silent
+        server.stops_reading()
+        for at in range(12):
+            await caller.send(dial(f"d{at}", no_answer=2 * SECOND))
+            await trio.sleep(2.5)
+        assert len(server.links) == 2
+        await caller.send(dial("d-again"))
+        assert await server.link.next(Setup)
+        assert len(caller.all(Declined | Aborted)) == 12
+
+
+async def test_connections_on_sockets_are_watched_by_the_kernel() -> None:
+    listener = socket.create_server(("127.0.0.1", 0))
+    stream = await Sockets(silence=20 * SECOND).connect(f"127.0.0.1:{listener.getsockname()[1]}")
+    assert isinstance(stream, PlainStream)
+    options = [socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT, socket.TCP_USER_TIMEOUT]
+    assert stream._socket.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+    assert [stream._socket.getsockopt(socket.IPPROTO_TCP, one) for one in options] == [10, 3, 3, 20_000]
+    await stream.aclose()
+    listener.close()
+
+
+async def test_links_to_servers_gone_for_good_are_closed_and_leave_no_entry(
+    autojump_clock: MockClock,
+) -> None:
+    async with rigged(1) as rig:
+        for number in range(1, 20):
+            fresh = await rig.server(f"s{number}", 1)
+            await rig.tell(fresh.row())
+            await trio.sleep(1)
+            await rig.tell(fresh.row("gone"))  # and its machine closes nothing
+        await trio.sleep(5)
+        assert list(rig.edge._links) == ["s0"] and not rig.edge._leaving
+        assert all(rig.servers[f"s{number}"].link.ended for number in range(1, 20))
+
+
+async def test_nothing_goes_to_a_server_that_answers_under_anothers_address(
+    autojump_clock: MockClock,
+) -> None:
+    with capture_logs() as logs:
+        async with rigged(2) as rig:
+            await rig.tell(rig.servers["s1"].row("draining"))
+            stale = Row("s7", 7, "in-service", "s1:1", "", 1, 10**15)
+            await rig.tell(stale)
+            caller = await rig.caller()
+            for at in range(4):
+                await caller.send(dial(f"d{at}", first=7))
+            await trio.sleep(5)
+            assert not any(peer.all(Setup) for peer in rig.servers["s1"].links)
+    told = next(line for line in logs if line["event"] == "link-misdirected")
+    assert (told["server"], told["answers_as"], told["address"]) == ("s7", "s1", "s1:1")
+
+
+# Tables
+
+
+async def test_tables_hold_what_is_open_whatever_callers_and_servers_say(autojump_clock: MockClock) -> None:
+    async with rigged(1) as rig:
+        caller, server = await rig.caller(), rig.servers["s0"]
+        for at in range(3_000):
+            kind = "plain" if at % 2 else f"unknown-{at}"
+            await caller.send(dial(f"d{at}", no_answer=3_600 * SECOND, kind=kind))
+            if at % 2:
+                await server.link.next(Setup)
+                await server.link.send(Stands(f"d{at}"), Ended(f"d{at}", reason=f"because-{at}"))
+                await trio.sleep(0.01)
+        await trio.sleep(1)
+        edge = rig.edge
+        assert len(caller.all(Stands | Declined)) == 3_000
+        assert len(edge._alarms) <= 1_100  # an hour's time-outs of legs long ended
+        assert len(edge._guard.before) <= 3 and len(edge.tally.answers) <= 6
+        assert not edge._dialogs and not edge._links["s0"].legs
--- a/valverouter/cli/__main__.py
+++ b/valverouter/cli/__main__.py
@@ -77,7 +77,7 @@
 
 
 async def _edge(terms: EdgeTerms, file: Path) -> None:
-    proxy = EdgeProxy(terms, Sockets())
+    proxy = EdgeProxy(terms, Sockets(terms.links.silence))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_signals, proxy, file)
         long_lived()
--- a/valverouter/edge/clock.py
+++ b/valverouter/edge/clock.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Callable
 from typing import Any
 
 import trio
@@ -27,7 +28,7 @@
 
 
 class Alarms:
-    """What is due when. Each entry leaves when its time comes, also where it is no longer wanted by then."""
+    """What is due when. An entry leaves when its time comes, or with `keep` where it is no longer wanted."""
 
     def __init__(self) -> None:
         self._heap: list[tuple[int, int, Any]] = []
@@ -37,6 +38,13 @@
         self._serial += 1
         heapq.heappush(self._heap, (at, self._serial, what))
 
+    def __len__(self) -> int:
+        return len(self._heap)
+
+    def keep(self, wanted: Callable[[Any], bool]) -> None:
+        self._heap = [entry for entry in self._heap if wanted(entry[2])]
+        heapq.heapify(self._heap)
+
     @property
     def next(self) -> int | None:
         return self._heap[0][0] if self._heap else None
--- a/valverouter/edge/links.py
+++ b/valverouter/edge/links.py
@@ -84,6 +84,8 @@
         self._connection = trio.CancelScope()
         self._why = ""
         self._heard = False
+        # When something was first sent that nothing has been heard since; None: nothing is asked.
+        self._asked_at: float | None = None
 
     @property
     def takes(self) -> bool:
@@ -109,6 +111,8 @@
             self._outbox.put(self._session.send(message), key, left)
         except Overfull as error:
             self.give_up(f"reads too slowly: {error}")
+        if self._asked_at is None:
+            self._asked_at = trio.current_time()
 
     def withdraw(self, key: tuple[str, int]) -> bool:
         """Takes back a set-up that has not left; whether it could be. It is out of `legs` then."""
@@ -162,11 +166,13 @@
             leg for leg in legs if leg in self._early or (outbox is not None and outbox.holds(leg))
         )
         self._outbox, self._session, self._why, self._heard = None, None, "", False
+        self._asked_at = None
         self._early.clear()
         self._inbox.put(LinkDown(self, why, frozenset(legs) - unsent, unsent))
 
     async def _once(self) -> str:
         hello = Hello((OLDEST, NEWEST), "edge", self._name)
+        self._why = ""  # what was given up between two connections is not this one
         self._session = session = SetupSession(hello)
         self._outbox = outbox = Outbox(self._terms.waiting_bytes, self._departures)
         self._connection = trio.CancelScope()
@@ -182,6 +188,7 @@
                 try:
                     await stream.send_all(session.opening())
                     nursery.start_soon(self._write, outbox, stream)
+                    nursery.start_soon(self._watch)
                     await self._read(stream, session)
                 except ProtocolError as error:
                     why = f"{error.code}: {error}"
@@ -199,9 +206,20 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self.give_up("reset")
 
+    async def _watch(self) -> None:
+        """Gives up a link whose far side was asked and says nothing at all: half open, it would take legs for
+        as long as the kernel goes on sending, a quarter of an hour or for good. Idle is not silent."""
+        limit = self._terms.silence / 1e9
+        while True:
+            asked_at = self._asked_at
+            if asked_at is not None and trio.current_time() >= asked_at + limit:
+                self.give_up(f"silent for {limit:g} s")
+            await trio.sleep_until((trio.current_time() if asked_at is None else asked_at) + limit)
+
     async def _read(self, stream: trio.abc.Stream, session: SetupSession) -> None:
         with trio.fail_after(self._terms.hello_within / 1e9) as patience:
             while data := await stream.receive_some(READ):
+                self._asked_at = None
                 for message in session.receive(data):
                     if isinstance(message, Provisional):
                         continue  # checked by the session; it changes nothing here
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -79,6 +79,11 @@
 REFUSALS_TOLD = 1_000_000_000
 # For so long the end waits for a disk that hangs.
 LAST_FILE_S = 2.0
+# From so many alarms on those of legs long ended are taken out: a caller may ask for an hour of no-answer
+# time and have its answer at once. Twice what stays then, at least so many, sets the next time.
+ALARMS_LOOKED_AT = 1_024
+# How a dialog that stood may end; a server's other words are not counted apart.
+ENDS = ("over", "released", "cut")
 # How often what crossed is written to its file.
 ACCOUNTS_S = 10.0
 
@@ -145,6 +150,9 @@
         self._alarms = Alarms()
         self._dialogs: dict[str, Taken] = {}
         self._links: dict[str, Link] = {}
+        # Links to servers that are gone from the list; each is closed once nothing is open on it.
+        self._leaving: set[Link] = set()
+        self._alarms_most = ALARMS_LOOKED_AT
         self._incarnations = Incarnations(terms.deployment.warm_after)
         self._attempts = AttemptBook(terms) if terms.attempts else None
         self.generation = 1
@@ -267,6 +275,8 @@
     def _judge(self, taken: Taken, declined: bool) -> None:
         """Tells the guard of a final answer; where a change harms, says so, and goes back if the terms
         allow."""
+        if taken.setup.traffic_type not in self.terms.deployment.traffic_types:
+            return  # a caller's own word; counted, each would stay
         harm = self._guard.answered(self._now, taken.setup.traffic_type, declined, taken.legs)
         if harm is None:
             return
@@ -359,6 +369,12 @@
             while (alarm := self._alarms.due(now)) is not None:
                 if type(alarm) is not LegOver or self._is_out(alarm):
                     self._safely(alarm)
+            for link in [link for link in self._leaving if not link.legs]:
+                self._leaving.discard(link)
+                link.give_up("gone from the list")
+            if len(self._alarms) > self._alarms_most:
+                self._alarms.keep(lambda alarm: type(alarm) is not LegOver or self._is_out(alarm))
+                self._alarms_most = max(ALARMS_LOOKED_AT, 2 * len(self._alarms))
             self._departures.end()
             self._looked_at = now
             if self._stopping and (not self.open_dialogs or (stop_at or 0) <= self._looked_at):
@@ -524,7 +540,7 @@
     def _over(self, taken: Taken, reason: str) -> None:
         """A dialog that stood has ended."""
         taken.caller.send(setup.Ended(taken.setup.dialog, taken.setup.leg, reason))
-        self.tally.answers[f"ended-{reason}"] += 1
+        self.tally.answers[f"ended-{reason if reason in ENDS else 'otherwise'}"] += 1
         self._forget(taken)
 
     def _forget(self, taken: Taken) -> None:
@@ -653,6 +669,14 @@
         that a fresh process is not met by what its former self was sent.
         """
         now, link, welcome = self._now, event.link, event.welcome
+        if welcome.name != link.server:
+            # An address that another server took over: what we would send it for this one might break its
+            # drain, or push it over while it is cold.
+            self._log.error(
+                "link-misdirected", server=link.server, address=link.address, answers_as=welcome.name
+            )
+            link.give_up(f"{welcome.name!r} answers there")
+            return
         row = self._list.replica.rows.get(link.server)
         before = self._incarnations.started_at(link.server, 0, None, now)
         started_at = self._incarnations.started_at(link.server, welcome.incarnation, welcome.age, now)
@@ -686,6 +710,8 @@
                     self._over(taken, "cut")
         if (link.ended or not link.wanted) and self._links.get(link.server) is link:
             del self._links[link.server]
+        if link.ended or not link.wanted:
+            self._leaving.discard(link)
 
     def _listed(self, heard: ListHeard) -> None:
         now = self._now
@@ -701,17 +727,18 @@
             if row.phase == "in-service":
                 self._want(row.server, row.address)
             else:
-                self._unwant(row.server)
+                self._unwant(row.server, row.phase == "gone")
             if row.phase == "gone":
                 self._incarnations.forget(row.server)
         if whole:
             for server in [server for server in self._links if server not in listed]:
-                self._unwant(server)
+                self._unwant(server, True)
 
     def _want(self, server: str, address: str) -> None:
         link = self._links.get(server)
         if link is not None and link.address == address and not link.ended:
             link.wanted = True
+            self._leaving.discard(link)
             return
         if link is not None:
             link.wanted = False
@@ -730,9 +757,11 @@
         assert self._nursery is not None
         self._nursery.start_soon(link.run)
 
-    def _unwant(self, server: str) -> None:
+    def _unwant(self, server: str, gone: bool) -> None:
         """Draining or gone: from here on nothing new, also of what waits to be written."""
         link = self._links.get(server)
+        if link is not None and gone:
+            self._leaving.add(link)
         if link is not None and link.wanted:
             link.wanted = False
             self._withdraw_all(link)
--- a/valverouter/edge/surroundings.py
+++ b/valverouter/edge/surroundings.py
@@ -22,6 +22,7 @@
 READ = 64 * 1024
 # What accept says when this process or the machine has nothing left for another connection.
 SHORT = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS))
+KEEPALIVE_PROBES = 3
 # Before accepting is tried again then.
 AGAIN_S = 0.1
 
@@ -84,9 +85,25 @@
     read waits once, and a write that the kernel takes at once costs its system call alone.
     """
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(self, stream: trio.SocketStream, silence: int = 0) -> None:
         self._socket = socket.socket(fileno=stream.socket.detach())
         self._socket.setblocking(False)
+        if silence:
+            self._watched(silence)
+
+    def _watched(self, silence: int) -> None:
+        """The kernel asks a silent far side whether it is there, tells within `silence` ns that it is not:
+        a machine that lost its power closes nothing, and an idle connection to it would stay for good."""
+        first = max(1, silence // 2 // 10**9)
+        between = max(1, (silence // 10**9 - first) // KEEPALIVE_PROBES)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in (
+            (socket.TCP_KEEPIDLE, first),
+            (socket.TCP_KEEPINTVL, between),
+            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+            (socket.TCP_USER_TIMEOUT, silence // 10**6),
+        ):
+            self._socket.setsockopt(socket.IPPROTO_TCP, option, value)
 
     def send_now(self, data: bytes) -> int:
         try:
@@ -137,7 +154,7 @@
 
 
 async def _accept(
-    listener: trio.SocketListener, nursery: trio.Nursery, handler: Handler, refuse: Handler
+    listener: trio.SocketListener, nursery: trio.Nursery, handler: Handler, refuse: Handler, silence: int
 ) -> None:
     """Accepts until cancelled. With no descriptor left callers would wait in the backlog and hear nothing;
     the one spare is given up for as long as it takes to tell each that there is no room."""
@@ -156,7 +173,7 @@
                     await refuse(PlainStream(await listener.accept()))
                 await trio.sleep(AGAIN_S / 10)
             else:
-                nursery.start_soon(handler, PlainStream(stream))
+                nursery.start_soon(handler, PlainStream(stream, silence))
             if spare < 0:
                 with suppress(OSError):
                     spare = os.open(os.devnull, os.O_RDONLY)
@@ -168,12 +185,15 @@
 class Sockets:
     """TCP on the machine. Delayed sending is off: set-ups are small and urgent."""
 
+    def __init__(self, silence: int = 0) -> None:
+        self._silence = silence
+
     def wall(self) -> int:
         return time.time_ns()
 
     async def connect(self, address: str) -> trio.abc.Stream:
         host, port = split(address)
-        return PlainStream(await trio.open_tcp_stream(host, port))
+        return PlainStream(await trio.open_tcp_stream(host, port), self._silence)
 
     async def serve(
         self,
@@ -188,7 +208,7 @@
         task_status.started(f"{host}:{bound}")
         async with trio.open_nursery() as nursery:
             for listener in listeners:
-                nursery.start_soon(_accept, listener, nursery, handler, refuse or handler)
+                nursery.start_soon(_accept, listener, nursery, handler, refuse or handler, self._silence)
 
     def descriptors(self) -> int:
         return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
--- a/valverouter/terms/edge.py
+++ b/valverouter/terms/edge.py
@@ -71,6 +71,7 @@
     connect_within: LongSpan = 500 * MS
     reconnect_least: Span = 0
     hello_within: LongSpan = 2 * SECOND
+    silence: LongSpan = 30 * SECOND
     waiting_bytes: Waiting = 256 * 1024
     open_dialogs: Positive = 20_000
     callers: Positive = 10_000
