--- a/valverouter/audit/rules.py
+++ b/valverouter/audit/rules.py
@@ -80,10 +80,18 @@
     def breach(at: int, dialog: str, text: str) -> None:
         verdict.breaches.append(Breach(1, at, dialog, text))
 
+    def owed(asked: Passed, now: int) -> None:
+        until = asked.at + asked.span
+        if until + terms.slack < now and not _during(stalls, asked.edge, until):
+            breach(until, asked.dialog, "no final answer in its time")
+
     for row in rows:
         if isinstance(row, Lost) and row.peer in callers:
-            for dialog in by_caller.pop(row.peer, set()):
-                open_.pop(dialog, None)
+            for dialog in sorted(by_caller.pop(row.peer, set())):
+                # What was overdue by then stays so: every record ends with the callers' connections, and
+                # forgiving all that was open then forgave every answer that never came.
+                if (asked := open_.pop(dialog, None)) is not None:
+                    owed(asked, row.at)
                 said.setdefault(dialog, []).append("lost")
         if not isinstance(row, Passed) or row.peer not in callers or not row.dialog:
             continue
@@ -94,12 +102,13 @@
             said[row.dialog] = []
         elif not row.sent and row.kind in FINAL:
             words = said.setdefault(row.dialog, [])
-            asked = open_.pop(row.dialog, None)
+            answered = open_.pop(row.dialog, None)
             by_caller[row.peer].discard(row.dialog)
             if words:
                 breach(row.at, row.dialog, f"{row.kind} after {words[-1]}")
-            elif asked is not None and row.at > asked.at + asked.span + terms.slack:
-                breach(row.at, row.dialog, f"{row.kind} {row.at - asked.at - asked.span} ns after its time")
+            elif answered is not None and row.at > answered.at + answered.span + terms.slack:
+                over = row.at - answered.at - answered.span
+                breach(row.at, row.dialog, f"{row.kind} {over} ns after its time")
             words.append(row.kind)
         elif not row.sent:
             words = said.get(row.dialog, [])
@@ -108,10 +117,8 @@
             if words:
                 words.append(row.kind)
     end = rows[-1].at if rows else 0
-    for dialog, asked in open_.items():
-        until = asked.at + asked.span
-        if until + terms.slack < end and not _during(stalls, asked.edge, until):
-            breach(until, dialog, "no final answer in its time")
+    for asked in open_.values():
+        owed(asked, end)
 
 
 def _one_leg_and_release(rows: Sequence[Row], terms: Terms, verdict: Verdict) -> None:
