A failure after a quiet hour no longer shuts a server out for good

Ruled out: the pause itself (its cap is in turns, as designed) and the list. At fault: control.py _turn divides by the mark of busy lines, which fades towards nought (1.6e-15 lines). The smallest departure: one busy line at least. It acts only below one line, where the mark says nothing. Before: shut out; after: used again within 600 s.

--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -22,6 +22,7 @@
 from trio.testing import MockClock
 
 from tests.drilling import Drill, drill
+from tests.helpers import Rig as Quiet
 from tests.rig import INI, SECOND, Peer, dial, rigged
 from valverouter.cli.logs import Lines
 from valverouter.days.virtual import EPOCH, ROOM
@@ -31,6 +32,7 @@
 from valverouter.edge.mail import Inbox
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import PlainStream, Sockets
+from valverouter.interface import Outcome, Report
 from valverouter.signalling.framing import ProtocolError, frame
 from valverouter.signalling.greeting import Hello, Welcome
 from valverouter.signalling.serverlist import ListSession, Row, Snapshot, Watch
@@ -607,6 +609,27 @@
             assert again and min(again) >= 0.3 - 1e-6
 
 
+
+def test_a_failure_after_a_quiet_half_hour_does_not_shut_a_server_out_for_good() -> None:
+    rig = Quiet(2)
+    for server in ("s0", "s1"):
+        rig.driver.report(server, Report(free_lines=390, lines=400))
+    first = rig.dialog()
+    rig.result(first, "s0", Outcome.STANDS)
+    rig.result(first, "s0", Outcome.ENDED, dialog_closed=True)
+    rig.now += 1_800 * SECOND
+    rig.driver.tick(rig.now)
+    none_busy = Report(free_lines=400, lines=400)
+    rig.driver.report("s0", none_busy)
+    rig.result(rig.dialog(called_number=5), "s0", Outcome.LINE_BUSY, report=none_busy)
+    rig.result(rig.dialog(called_number=6), "s0", Outcome.RESET)
+    rig.now += 600 * SECOND
+    rig.driver.tick(rig.now)
+    rig.take()
+    rig.dialog()
+    assert "s0" in rig.said()
+
+
 # Tables
 
 
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -557,8 +557,10 @@
         """The time in which our even share of what a server usually takes is one leg; 0 if not known."""
         # Busy lines over the length of a dialog are the rate at which they are set up, for the whole fleet
         # and from its very start; servers differ many times over in what they can do for each line.
+        # Of a server that a quiet hour left with no line busy little is known, not that our turn never comes:
+        # the mark fades towards nought, and one failure then shut that server out for good.
         busy = self._usual(far)
-        return self._length * self._senders / busy if busy else 0.0
+        return self._length * self._senders / max(1.0, busy) if busy else 0.0
 
     def _usual(self, far: Far) -> float:
         """The most lines that a server was seen to hold while prompt; 0 if nothing is known of any."""
