A cancel for a leg whose link went down unheard leaves its dialog its answer

Seen: a cancel by the decisions between a link's going down and the instance's hearing of it raised, inside the handler that ends such a dialog too: the dialog got no answer and stayed in the table. Ruled out: Driver and session. At fault: proxy.py _let_go wrote on the link without asking whether the leg is on it. Its end is in the inbox already.

--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -32,7 +32,7 @@
 from valverouter.edge.mail import Inbox
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import PlainStream, Sockets
-from valverouter.interface import Outcome, Report
+from valverouter.interface import CancelLeg, Order, Outcome, Report
 from valverouter.signalling.framing import ProtocolError, frame
 from valverouter.signalling.greeting import Hello, Welcome
 from valverouter.signalling.serverlist import ListSession, Row, Snapshot, Watch
@@ -609,6 +609,17 @@
             assert again and min(again) >= 0.3 - 1e-6
 
 
+async def test_a_leg_let_go_on_a_link_that_is_down_already_ends_once(autojump_clock: MockClock) -> None:
+    async with rigged(2) as rig:
+        caller = await rig.caller()
+        await caller.send(dial(no_answer=2 * SECOND))
+        await rig.servers["s0"].link.next(Setup)
+        # The link has gone down and the instance has not heard so yet, when the decisions cancel its leg.
+        rig.edge._links["s0"]._went_down("reset")
+        rig.edge._guarded("d1", rig.edge._do, Order("d1", CancelLeg(0)))
+        await trio.sleep(3)
+        assert len(caller.all(Stands | Declined | Aborted)) == 1 and not rig.edge._dialogs
+
 
 def test_a_failure_after_a_quiet_half_hour_does_not_shut_a_server_out_for_good() -> None:
     rig = Quiet(2)
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -588,6 +588,8 @@
         link, leg, dialog_id = taken.link, taken.leg, taken.setup.dialog
         assert link is not None and leg is not None
         key = (dialog_id, leg)
+        if key not in link.legs:
+            return  # the link went down, or never took it: its end is in the inbox, and was not heard yet
         if link.withdraw(key):
             self._inbox.put(LegOver(dialog_id, leg, link.server, Outcome.UNREACHABLE))
             return
