Accounts that can't be kept for want of a thread cost their rows alone

Seen: with no thread to be had the write of the accounts raised RuntimeError in a task of the instance and ended it. At fault: proxy.py _write_accounts caught OSError alone.

--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -24,6 +24,7 @@
 from tests.drilling import Drill, drill
 from tests.helpers import Rig as Quiet
 from tests.rig import INI, SECOND, Peer, dial, rigged
+from tests.test_regions import GOOD as REGIONS
 from valverouter.cli.logs import Lines
 from valverouter.days.virtual import EPOCH, ROOM
 from valverouter.edge.clock import Clock
@@ -660,3 +661,27 @@
         assert len(edge._alarms) <= 1_100  # an hour's time-outs of legs long ended
         assert len(edge._guard.before) <= 3 and len(edge.tally.answers) <= 6
         assert not edge._dialogs and not edge._links["s0"].legs
+
+
+@pytest.mark.parametrize("how", ["no-thread", "hangs"])
+async def test_accounts_that_can_not_be_kept_cost_their_rows_alone(
+    autojump_clock: MockClock, how: str
+) -> None:
+    ini = REGIONS.replace("127.0.0.1:1", "edge:1", 1).replace("127.0.0.1:2", "list:1")
+    with capture_logs() as logs:
+        async with rigged(1, ini.replace("[fleet]", "accounts = books\n[fleet]", 1)) as rig:
+
+            async def keep(path: str, data: bytes) -> None:
+                if how == "hangs":
+                    await trio.sleep_forever()
+                raise RuntimeError("can't start new thread")
+
+            rig.surroundings.keep = keep  # type: ignore[method-assign]
+            await trio.sleep(25)
+            rig.edge.stop()
+            began = trio.current_time()
+            with trio.fail_after(10):
+                while not any(line["event"] == "stopped" for line in logs):
+                    await trio.sleep(0.1)
+            assert trio.current_time() - began <= 3
+    assert how == "hangs" or [line["event"] for line in logs].count("accounts-not-kept") >= 2
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -327,7 +327,7 @@
             await self._surroundings.keep(
                 self.terms.accounts, b"".join(msgspec.json.encode(row) + b"\n" for row in rows)
             )
-        except OSError as error:
+        except Exception as error:  # no thread to be had is a RuntimeError
             self._log.warning("accounts-not-kept", path=self.terms.accounts, why=str(error))
 
     def _wait(self, tries: int) -> int:
