Callers that send at once no longer fill the inbox past its bound

Seen: 40 callers that send 700 set-ups in one write each put 28,000 events into the inbox, whose bound is 4,096; with 10,000 callers that is over ten GB. Ruled out: Inbox.room, which held them, after the fact.

--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -685,3 +685,24 @@
                     await trio.sleep(0.1)
             assert trio.current_time() - began <= 3
     assert how == "hangs" or [line["event"] for line in logs].count("accounts-not-kept") >= 2
+
+
+async def test_many_callers_at_once_do_not_fill_the_inbox_past_its_bound(autojump_clock: MockClock) -> None:
+    async with rigged(1) as rig:
+        most = 0
+        whole = Inbox.put
+
+        def put(inbox: Inbox, event: Any) -> None:
+            nonlocal most
+            whole(inbox, event)
+            most = max(most, len(inbox))
+
+        callers = [await rig.caller(f"c{at}") for at in range(20)]
+        with pytest.MonkeyPatch.context() as patched:
+            patched.setattr(Inbox, "put", put)
+            for at, caller in enumerate(callers):
+                asked = [dial(f"d{at}-{n}", kind="unknown") for n in range(700)]
+                rig.nursery.start_soon(caller.send, *asked)
+            await trio.sleep(30)
+        assert sum(len(caller.all(Declined)) for caller in callers) == 20 * 700
+        assert 4_096 <= most <= 4_096 + 2 * 1_400  # the bound and what one read brings beyond it, twice
--- a/valverouter/edge/links.py
+++ b/valverouter/edge/links.py
@@ -220,6 +220,7 @@
         with trio.fail_after(self._terms.hello_within / 1e9) as patience:
             while data := await stream.receive_some(READ):
                 self._asked_at = None
+                await self._inbox.room()
                 for message in session.receive(data):
                     if isinstance(message, Provisional):
                         continue  # checked by the session; it changes nothing here
@@ -231,5 +232,4 @@
                         self.send(message)
                     else:
                         self._inbox.put(FromServer(self, message))
-                await self._inbox.room()
             session.end()
