--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -29,7 +29,7 @@
 from valverouter.days.virtual import EPOCH, ROOM
 from valverouter.edge.clock import Clock
 from valverouter.edge.links import say_farewell
-from valverouter.edge.listing import ListLink
+from valverouter.edge.listing import Incarnations, ListLink
 from valverouter.edge.mail import Inbox
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import PlainStream, Sockets
@@ -706,3 +706,43 @@
             await trio.sleep(30)
         assert sum(len(caller.all(Declined)) for caller in callers) == 20 * 700
         assert 4_096 <= most <= 4_096 + 2 * 1_400  # the bound and what one read brings beyond it, twice
+
+
+# Found and not mended: what should be, and is not. docs/readiness-review.md says why.
+
+
+@pytest.mark.xfail(strict=True, reason="a pause is reckoned once, in turns of the hour of the failure")
+def test_a_failure_at_night_does_not_keep_a_server_away_in_the_morning() -> None:
+    rig = Quiet(2, edge_proxies=200)
+    for server in ("s0", "s1"):
+        rig.driver.report(server, Report(free_lines=399, lines=400))
+    first = rig.dialog()
+    rig.result(first, "s0", Outcome.STANDS)
+    rig.result(first, "s0", Outcome.ENDED, dialog_closed=True)
+    rig.result(rig.dialog(), "s0", Outcome.RESET)
+    rig.now += 600 * SECOND
+    rig.driver.tick(rig.now)
+    for server in ("s0", "s1"):
+        rig.driver.report(server, Report(free_lines=100, lines=400))
+    rig.take()
+    rig.dialog()
+    assert rig.said() == "s0"
+
+
+@pytest.mark.xfail(
+    strict=True, reason="the protocol asks that incarnations grow; a clock set back breaks that"
+)
+def test_a_server_started_again_under_a_smaller_incarnation_is_cold() -> None:
+    known = Incarnations(warm_after=15 * SECOND)
+    known.entry(Row("s0", 0, "in-service", "s0:1", "", 900, 3_600 * SECOND), 10_000 * SECOND)
+    fresh = known.entry(Row("s0", 0, "in-service", "s0:1", "", 800, 0), 20_000 * SECOND)
+    assert fresh.started_at == 20_000 * SECOND
+
+
+@pytest.mark.xfail(strict=True, reason="nothing is asked of the list service once it has told the list")
+async def test_a_list_service_that_went_silent_is_told_from_a_calm_one(autojump_clock: MockClock) -> None:
+    async with rigged(1) as rig:
+        assert rig.list is not None
+        rig.list.reads = False
+        await trio.sleep(600)
+        assert not rig.edge._list.is_up
--- a/valverouter/edge/listener.py
+++ b/valverouter/edge/listener.py
@@ -86,8 +86,8 @@
     async def _read(self, stream: trio.abc.Stream) -> None:
         with trio.fail_after(self._terms.hello_within / 1e9) as patience:
             while data := await stream.receive_some(READ):
-                # Before its messages are taken apart: ten thousand callers' reads at once would each go past the
-                # bound by hundreds of events, here they hold their bytes.
+                # Before its messages are taken apart: ten thousand callers' reads at once would each go past
+                # the bound by hundreds of events, here they hold their bytes.
                 await self._inbox.room()
                 for message in self._session.receive(data):
                     if isinstance(message, Hello):
