Memory that runs out in a reload leaves everything as it was

Seen: a MemoryError at the first slot of new crossing terms left the terms new and the lanes old, and was told as turn-failed. Ruled out: the attempt book (made before) and budgets. At fault: regions/crossing.py _set assigned as it went, proxy.py _reload caught flaws alone.

--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -23,7 +23,7 @@
 
 from tests.drilling import Drill, drill
 from tests.helpers import Rig as Quiet
-from tests.rig import INI, SECOND, Peer, dial, rigged
+from tests.rig import INI, SECOND, Peer, dial, rigged, terms
 from tests.test_regions import GOOD as REGIONS
 from valverouter.cli.logs import Lines
 from valverouter.days.virtual import EPOCH, ROOM
@@ -34,6 +34,8 @@
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import PlainStream, Sockets
 from valverouter.interface import CancelLeg, Order, Outcome, Report
+from valverouter.regions import crossing
+from valverouter.regions.slots import Slots
 from valverouter.signalling.framing import ProtocolError, frame
 from valverouter.signalling.greeting import Hello, Welcome
 from valverouter.signalling.serverlist import ListSession, Row, Snapshot, Watch
@@ -233,6 +235,38 @@
         assert await one.ended() == 0
 
 
+async def test_memory_that_runs_out_in_the_middle_of_a_reload_leaves_everything_as_it_was(
+    autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    ini = REGIONS.replace("127.0.0.1:1", "edge:1", 1).replace("127.0.0.1:2", "list:1")
+    with capture_logs() as logs:
+        async with rigged(1, ini) as rig:
+            rule = rig.edge.crossing
+            assert rule is not None
+            before = (rule.terms, dict(rule._lanes), rule._reserve, rig.edge.terms, rig.edge.generation)
+            other = terms(ini.replace("legs = 10", "legs = 20"))
+            for at in range(1, 20):
+                made = 0
+
+                class Short(Slots):
+                    def __init__(self, *args: Any) -> None:
+                        nonlocal made
+                        made += 1
+                        if made == at:  # noqa: B023 - used at once
+                            raise MemoryError
+                        super().__init__(*args)
+
+                monkeypatch.setattr(crossing, "Slots", Short)
+                rig.edge.reload(other)
+                await trio.sleep(0.1)
+                if made < at:
+                    break  # nothing was short any more: it was taken
+                now = (rule.terms, dict(rule._lanes), rule._reserve, rig.edge.terms, rig.edge.generation)
+                assert now == before
+    told = [line["event"] for line in logs if line["event"] in ("reload-refused", "reloaded", "turn-failed")]
+    assert at > 3 and told == ["reload-refused"] * (at - 1) + ["reloaded"]
+
+
 # Running out
 
 
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -63,7 +63,7 @@
 from valverouter.signalling.greeting import Welcome
 from valverouter.signalling.setup import SetupSession
 from valverouter.terms.edge import EdgeTerms
-from valverouter.terms.ini import END, FlawedTermsError, show_span
+from valverouter.terms.ini import END, show_span
 
 # A turn that comes so much later than the next beat was due shows that this process did not run.
 STALL_SHOWS = HEARTBEAT + 50_000_000
@@ -248,8 +248,8 @@
             attempts = event.book or self.book_of(new)
             if self.crossing is not None and new.crossing is not None:
                 self.crossing.change(new.crossing, self._now)
-        except (ValueError, FlawedTermsError) as error:
-            self._refuse_reload(event, str(error))
+        except Exception as error:  # flaws, and memory that runs out on the way
+            self._refuse_reload(event, str(error) or type(error).__name__)
             return
         self._attempts, self.terms = attempts, keeps
         self._tell_budgets()
--- a/valverouter/regions/crossing.py
+++ b/valverouter/regions/crossing.py
@@ -55,15 +55,16 @@
         def slots(budget: CrossingBudget) -> Slots:
             return Slots(budget, terms.clock_skew, now + budget.window * wait)
 
-        self.terms = terms
-        self._reserve = slots(terms.reserve) if terms.reserve else None
-        self._lanes: dict[tuple[str, str], Slots] = {}
+        reserve = slots(terms.reserve) if terms.reserve else None
+        lanes: dict[tuple[str, str], Slots] = {}
         for name, kind in terms.classes.items():
             if kind.budget is not None:
-                self._lanes[name, ""] = slots(kind.budget)
+                lanes[name, ""] = slots(kind.budget)
             for (home, away), budget in (kind.pairs or {}).items():
                 if home == terms.home:
-                    self._lanes[name, away] = slots(budget)
+                    lanes[name, away] = slots(budget)
+        # All at once: memory that runs out on the way must not leave half of each.
+        self.terms, self._reserve, self._lanes = terms, reserve, lanes
 
     def is_away(self, region: str) -> bool:
         """A server whose region is not told is taken to be across: it can't be shown to be at home."""
