--- a/tests/drilling.py
+++ b/tests/drilling.py
@@ -177,6 +177,14 @@
             "memory": int(found["VmRSS"].split()[0]),
         }
 
+    async def settled(self) -> dict[str, int]:
+        """`holds` once it stays the same: a file may be open for a moment."""
+        before: dict[str, int] = {}
+        while (now := self.holds())["descriptors"] != before.get("descriptors"):
+            before = now
+            await trio.sleep(0.3)
+        return now
+
     async def ended(self, within: float = 15.0) -> int:
         with trio.fail_after(within):
             while (code := self.process.poll()) is None:
