--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -194,16 +194,14 @@
 
 
 async def test_whatever_lies_there_at_sighup_the_old_terms_act_on_and_it_is_told(tmp_path: Path) -> None:
-    async with drill(tmp_path) as one:
-        one.servers["s0"].answer = lambda asked: (
-            Stands(asked.dialog, asked.leg) if "no" not in asked.dialog else None
-        )
+    async with drill(tmp_path, servers=2) as one:
+        one.servers["s1"].answer = lambda asked: None
         good = one.ini(more="[attempts a]\nlegs = 2\n# end of terms\n")
         await one.start(good)
         caller = await one.caller()
         held = await one.caller("held")
-        await held.send(dial("d-no-answer", no_answer=6 * SECOND))
         before = await one.settled()
+        await held.send(dial("d-no-answer", first=1, no_answer=6 * SECOND))
         flawed = [
             None,
             b"\xff\xfe",
