--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -98,7 +98,8 @@
             await bad.stream.send_all(frame(dial("b1")))
             await rig.servers["s1"].link.send(Reported(Load()))
             await trio.sleep(1)
-        assert {line["what"] for line in logs if line["event"] == "connection-failed"} == {"caller", "link"}
+        told = {(line["what"], line["peer"]) for line in logs if line["event"] == "connection-failed"}
+        assert told == {("caller", "bad"), ("link", "s1")}
         await caller.send(dial())
         await rig.servers["s0"].link.next(Setup)
         await rig.servers["s0"].link.send(Stands("d1"))
--- a/valverouter/edge/links.py
+++ b/valverouter/edge/links.py
@@ -23,13 +23,13 @@
 
 
 @contextmanager
-def costs_this_alone(what: str, name: str) -> Iterator[None]:
+def costs_this_alone(what: str, name: Callable[[], str]) -> Iterator[None]:
     """A fault nobody thought of, in one connection's task: without this net it would end the instance, and
     every dialog here would lose its answer."""
     try:
         yield
     except Exception:
-        log.critical("connection-failed", what=what, peer=name, exc_info=True)
+        log.critical("connection-failed", what=what, peer=name(), exc_info=True)
 
 
 async def say_farewell(stream: trio.abc.Stream, session: Session, error: ProtocolError) -> None:
@@ -147,7 +147,7 @@
         while self.wanted:
             began = trio.current_time()
             why = "failed"
-            with costs_this_alone("link", self.server):
+            with costs_this_alone("link", lambda: self.server):
                 why = await self._once()
             tries = tries + 1 if trio.current_time() - began < 1 else 1
             self._went_down(why)
--- a/valverouter/edge/listener.py
+++ b/valverouter/edge/listener.py
@@ -61,7 +61,7 @@
 
     async def run(self) -> None:
         """Serves until either side ends; whatever happens here costs this connection alone."""
-        with costs_this_alone("caller", self.name), self._scope:
+        with costs_this_alone("caller", lambda: self.name), self._scope:
             async with self._stream as stream, trio.open_nursery() as nursery:
                 nursery.start_soon(self._write, stream)
                 try:
--- a/valverouter/edge/listing.py
+++ b/valverouter/edge/listing.py
@@ -118,7 +118,7 @@
         while True:
             await self._asked.wait()
             why, began = "failed", trio.current_time()
-            with costs_this_alone("list", self._terms.list_service):
+            with costs_this_alone("list", lambda: self._terms.list_service):
                 why = await self._once()
             was_up, self.is_up = self.is_up, False
             # One that closes after each word must not be asked ten times a second by every edge proxy.
