One place tells of a refused reload; nothing that is accepted is handled in the accept loop

Found in reading the whole change again: the command line and the edge proxy each wrote reload-refused (now the proxy alone, so it carries the edge's name in both); a socket option refused by a connection already gone, or memory short just after accept, was outside the accept loop's own guard; a parameter that memory places never used; one condition asked twice in LinkDown. No bound or check changed.

--- a/valverouter/cli/__main__.py
+++ b/valverouter/cli/__main__.py
@@ -107,14 +107,13 @@
     """Reads FILE when asked. Whatever it holds, the terms that act stay and the instance goes on: a fault of
     ours in reading it must not be worse than the file."""
     async for _ in asked:
-        told = {"generation": proxy.generation, "file": str(file)}
         try:
             terms = await load_settled(file)
             proxy.reload(terms, await trio.to_thread.run_sync(proxy.book_of, terms), str(file))
         except FlawedTermsError as error:
-            log.error("reload-refused", why=str(error), flaws=len(error.flaws), **told)
+            proxy.refuse_reload(str(file), str(error), flaws=len(error.flaws))
         except Exception as error:
-            log.error("reload-refused", why=f"{type(error).__name__}: {error}", exc_info=True, **told)
+            proxy.refuse_reload(str(file), f"{type(error).__name__}: {error}", exc_info=True)
 
 
 @main.command("day")
--- a/valverouter/days/virtual.py
+++ b/valverouter/days/virtual.py
@@ -113,7 +113,6 @@
         address: str,
         handler: Callable[[trio.abc.Stream], Awaitable[object]],
         task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
-        refuse: Callable[[trio.abc.Stream], Awaitable[object]] | None = None,
     ) -> None:
         if address.endswith(":0"):
             self._ports += 1
@@ -152,7 +151,7 @@
         task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
         refuse: Callable[[trio.abc.Stream], Awaitable[object]] | None = None,
     ) -> None:
-        await self._place.serve(address, handler, task_status, refuse)
+        await self._place.serve(address, handler, task_status)
 
     def descriptors(self) -> int:
         return 1_000_000
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -239,7 +239,7 @@
         new, old = event.terms, self.terms
         if old.ends and not new.ends:
             # A file cut off at a line's end may pass every check, with half of its sections.
-            self._refuse_reload(event, f"the file was cut off: its last line is not {END!r}")
+            self.refuse_reload(event.file, f"the file was cut off: its last line is not {END!r}")
             return
         keeps = self._kept(new)
         changes = [name for name in old.__struct_fields__ if getattr(keeps, name) != getattr(new, name)]
@@ -249,7 +249,7 @@
             if self.crossing is not None and new.crossing is not None:
                 self.crossing.change(new.crossing, self._now)
         except Exception as error:  # flaws, and memory that runs out on the way
-            self._refuse_reload(event, str(error) or type(error).__name__)
+            self.refuse_reload(event.file, str(error) or type(error).__name__)
             return
         self._attempts, self.terms = attempts, keeps
         self._tell_budgets()
@@ -262,8 +262,9 @@
             "reloaded", generation=self.generation, file=event.file, back=back, waits_for_a_start=changes
         )
 
-    def _refuse_reload(self, event: Reload, why: str) -> None:
-        self._log.error("reload-refused", generation=self.generation, file=event.file, why=why)
+    def refuse_reload(self, file: str, why: str, **more: Any) -> None:
+        """Tells of terms that do not act, and which go on acting."""
+        self._log.error("reload-refused", generation=self.generation, file=file, why=why, **more)
 
     def _tell_budgets(self) -> None:
         book = self._attempts
@@ -710,10 +711,10 @@
                 self._teach(dialog_id, leg, link.server, outcome)
                 if taken is not None and ours:
                     self._over(taken, "cut")
-        if (link.ended or not link.wanted) and self._links.get(link.server) is link:
-            del self._links[link.server]
         if link.ended or not link.wanted:
             self._leaving.discard(link)
+            if self._links.get(link.server) is link:
+                del self._links[link.server]
 
     def _listed(self, heard: ListHeard) -> None:
         now = self._now
--- a/valverouter/edge/surroundings.py
+++ b/valverouter/edge/surroundings.py
@@ -153,6 +153,14 @@
         raise trio.BrokenResourceError(str(error)) from error
 
 
+async def _handle(accepted: trio.SocketStream, handler: Handler, silence: int) -> None:
+    try:
+        stream = PlainStream(accepted, silence)
+    except OSError:
+        return  # gone again before it was looked at
+    await handler(stream)
+
+
 async def _accept(
     listener: trio.SocketListener, nursery: trio.Nursery, handler: Handler, refuse: Handler, silence: int
 ) -> None:
@@ -162,7 +170,7 @@
     try:
         while True:
             try:
-                stream = await listener.accept()
+                nursery.start_soon(_handle, await listener.accept(), handler, silence)
             except OSError as error:
                 if error.errno not in SHORT:
                     raise
@@ -174,8 +182,6 @@
                 await trio.sleep(AGAIN_S / 10)
             except MemoryError:
                 await trio.sleep(AGAIN_S)
-            else:
-                nursery.start_soon(handler, PlainStream(stream, silence))
             if spare < 0:
                 with suppress(OSError):
                     spare = os.open(os.devnull, os.O_RDONLY)
