--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -29,7 +29,7 @@
 import trio
 from hdrh.histogram import HdrHistogram
 
-from valverouter.cli.logs import set_up
+from valverouter.edge.logs import set_up
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import Sockets, long_lived
 from valverouter.signalling import setup
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -25,11 +25,11 @@
 from tests.helpers import Rig as Quiet
 from tests.rig import INI, SECOND, Peer, dial, rigged, terms
 from tests.test_regions import GOOD as REGIONS
-from valverouter.cli.logs import Lines
 from valverouter.days.virtual import EPOCH, ROOM
 from valverouter.edge.clock import Clock
 from valverouter.edge.links import say_farewell
 from valverouter.edge.listing import Incarnations, ListLink
+from valverouter.edge.logs import Lines
 from valverouter.edge.mail import Inbox
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import PlainStream, Sockets
--- a/valverouter/cli/__main__.py
+++ b/valverouter/cli/__main__.py
@@ -26,11 +26,12 @@
 from valverouter.audit.account import account
 from valverouter.audit.attempts import seen
 from valverouter.audit.rules import audit
-from valverouter.cli import logs, tables
+from valverouter.cli import tables
 from valverouter.days.loopback import EdgeFailedError, run_loopback
 from valverouter.days.planning import plan_of
 from valverouter.days.virtual import run_virtual
 from valverouter.days.world import World
+from valverouter.edge import logs
 from valverouter.edge.attempting import AttemptBook
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import Sockets, long_lived
--- a/valverouter/edge/events.py
+++ b/valverouter/edge/events.py
@@ -19,10 +19,11 @@
 
 @dataclass(frozen=True, slots=True)
 class FromCaller:
-    """A caller asks: Setup, Cancel or Release."""
+    """A caller asks: Setup, Cancel or Release. `came_at`: when its last byte was read, 0: with its turn."""
 
     caller: Caller
     message: setup.OfLeg
+    came_at: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/valverouter/edge/links.py
+++ b/valverouter/edge/links.py
@@ -87,6 +87,11 @@
         # When something was first sent that nothing has been heard since; None: nothing is asked.
         self._asked_at: float | None = None
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the word that it went down was its last."""
+        return self.ended or not self.wanted
+
     @property
     def takes(self) -> bool:
         """Whether a frame put now may still leave on a connection that is up or being made."""
--- a/valverouter/edge/listener.py
+++ b/valverouter/edge/listener.py
@@ -68,15 +68,22 @@
                     await self._read(stream)
                 except ProtocolError as error:
                     log.warning("caller-refused", caller=self.name, code=error.code, why=str(error))
-                    await say_farewell(stream, self._session, error)
+                    await self._part(stream, error)
                 except (trio.BrokenResourceError, trio.ClosedResourceError):
                     pass
                 except trio.TooSlowError:
-                    log.warning("caller-silent", why="no hello in time")
+                    self._silent()
                 nursery.cancel_scope.cancel()
         self._scope.cancel()
         self._inbox.put(CallerLost(self))
 
+    def _silent(self) -> None:
+        log.warning("caller-silent", why="no hello in time")
+
+    async def _part(self, stream: trio.abc.Stream, error: ProtocolError) -> None:
+        """The last word to a caller that broke the protocol."""
+        await say_farewell(stream, self._session, error)
+
     async def _write(self, stream: trio.abc.Stream) -> None:
         try:
             await self._outbox.run(stream)
--- a/valverouter/edge/listing.py
+++ b/valverouter/edge/listing.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 import msgspec
 import structlog
 import trio
@@ -71,6 +73,26 @@
         return ServerEntry(row.server, row.number, row.phase == "in-service", started_at, row.region)
 
 
+class ListSource(Protocol):
+    """Where an edge proxy hears of its servers."""
+
+    replica: Replica
+    is_up: bool
+    tries: int
+
+    def ask(self) -> None:
+        """The decisions ask for the list."""
+
+    async def cached(self) -> list[Row]:
+        """What is known before anything is heard."""
+
+    async def run(self) -> None:
+        """Puts the list's word ahead in the inbox, until cancelled."""
+
+    async def keep(self) -> None:
+        """Keeps what was heard for a later start, if anything does."""
+
+
 class ListLink:
     """The link to the list service. Where the list must be asked for, it rests until the decisions ask."""
 
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -39,7 +39,7 @@
 )
 from valverouter.edge.links import Link
 from valverouter.edge.listener import Caller
-from valverouter.edge.listing import Incarnations, ListLink
+from valverouter.edge.listing import Incarnations, ListLink, ListSource
 from valverouter.edge.mail import Departures, Inbox
 from valverouter.edge.surroundings import READ, Surroundings
 from valverouter.interface import (
@@ -141,6 +141,7 @@
         self.terms = terms
         self.tally = Tally()
         self.address = ""
+        self.ended = trio.Event()
         self._surroundings = surroundings
         self._log = log.bind(edge=terms.name)
         self._clock = Clock(surroundings.wall())
@@ -162,7 +163,7 @@
         self.crossing = Crossing(terms.crossing, self._clock.now()) if terms.crossing else None
         self._driver = Driver(terms.deployment, terms.seed, self._clock.now(), self.crossing)
         self._tell_budgets()
-        self._list = ListLink(terms, surroundings, self._inbox, self._clock, self._wait)
+        self._list = self._make_list()
         self._draws = 0
         self._callers = 0
         self._refused = 0
@@ -172,6 +173,8 @@
         self._looked_at = self._clock.now()
         self._stopping = False
         self._now = self._looked_at
+        # When the dialog that is being taken came.
+        self._came_at = self._looked_at
         self._handlers: dict[type, Callable[[Any], None]] = {
             FromCaller: self._from_caller,
             CallerLost: self._caller_lost,
@@ -213,6 +216,7 @@
             nursery.cancel_scope.cancel()
         with trio.move_on_after(LAST_FILE_S):
             await self._write_accounts()
+        self.ended.set()
         self._log.info("stopped", answers=dict(self.tally.answers), failures=self.tally.failures)
 
     def stop(self) -> None:
@@ -285,16 +289,41 @@
         if self._former is not None and self.terms.returns:
             self._reload(Reload(self._former), back=True)
 
+    # What another protocol does its own way, beside what it does with callers and standing dialogs
+
+    def _make_list(self) -> ListSource:
+        return ListLink(self.terms, self._surroundings, self._inbox, self._clock, self._wait)
+
+    def _make_link(self, server: str, address: str) -> Link:
+        return Link(
+            server,
+            address,
+            self.terms.name,
+            self.terms.links,
+            self._surroundings,
+            self._inbox,
+            self._wait,
+            self._departures,
+        )
+
+    @property
+    def _is_done(self) -> bool:
+        """Whether an instance that is to stop may end."""
+        return not self.open_dialogs
+
+    async def _talk(self, stream: trio.abc.Stream) -> None:
+        welcome = Welcome(0, self.terms.name, self.incarnation)
+        await Caller(stream, self.terms.links, self._inbox, welcome, self._departures).run()
+
     async def _serve(self, stream: trio.abc.Stream) -> None:
         # Links come before callers: without one no caller is served, and one lost must be made again.
         room = self._surroundings.descriptors() - KEPT_DESCRIPTORS - 2 * len(self._links)
         if self._callers >= min(self.terms.links.callers, room):
             await self._refuse(stream)
             return
-        welcome = Welcome(0, self.terms.name, self.incarnation)
         self._callers += 1
         try:
-            await Caller(stream, self.terms.links, self._inbox, welcome, self._departures).run()
+            await self._talk(stream)
         finally:
             self._callers -= 1
 
@@ -378,7 +407,7 @@
                 self._alarms_most = max(ALARMS_LOOKED_AT, 2 * len(self._alarms))
             self._departures.end()
             self._looked_at = now
-            if self._stopping and (not self.open_dialogs or (stop_at or 0) <= self._looked_at):
+            if self._stopping and (self._is_done or (stop_at or 0) <= self._looked_at):
                 for dialog_id in list(self._dialogs):
                     self._drop(dialog_id, "stopping")
                 await trio.sleep(SETTLE_S)  # the last words leave
@@ -407,6 +436,7 @@
 
     def _from_caller(self, event: FromCaller) -> None:
         if isinstance(event.message, setup.Setup):
+            self._came_at = event.came_at or self._now
             self._take(event.caller, event.message)
         else:
             self._leaves(event.caller, event.message)
@@ -447,7 +477,7 @@
     # Dialogs
 
     def _take(self, caller: Caller, asked: setup.Setup) -> None:
-        now = self._now
+        came_at = self._came_at
         if asked.dialog in self._dialogs:
             caller.refuse(ProtocolError("out-of-state", f"dialog {asked.dialog!r} is open here already"))
             return
@@ -459,10 +489,10 @@
         left = asked.no_answer - self.terms.answer_margin
         caller.send(setup.Provisional(asked.dialog, asked.leg))
         taken = self._dialogs[asked.dialog] = Taken(
-            asked, caller, now + asked.no_answer, generation=self.generation
+            asked, caller, came_at + asked.no_answer, generation=self.generation
         )
         caller.dialogs.add(asked.dialog)
-        if left <= 0:
+        if came_at + left <= self._now:
             self._answer(taken, setup.Aborted(asked.dialog, asked.leg, "no-time"))
             return
         attempts = None
@@ -475,7 +505,7 @@
         dialog = Dialog(
             id=asked.dialog,
             traffic_type=asked.traffic_type,
-            no_answer_at=now + left,
+            no_answer_at=came_at + left,
             first_choice=asked.first_choice,
             called_number=asked.called_number,
             was_cut=asked.was_cut,
@@ -567,15 +597,7 @@
             return
         asked = taken.setup
         key = (dialog_id, leg)
-        message = setup.Setup(
-            dialog=dialog_id,
-            leg=leg,
-            traffic_type=asked.traffic_type,
-            no_answer=max(1, taken.deadline - now),
-            first_choice=asked.first_choice,
-            called_number=asked.called_number,
-            was_cut=asked.was_cut,
-        )
+        message = msgspec.structs.replace(asked, leg=leg, no_answer=max(1, taken.deadline - now))
         link.set_up(key, message)
         self._alarms.set(wish.until, LegOver(dialog_id, leg, wish.server, Outcome.TIMED_OUT))
         self._log.debug("leg", dialog=dialog_id, leg=leg, server=wish.server)
@@ -621,7 +643,12 @@
         self._guarded("", self._driver.leg_result, result)
 
     def _end_leg(
-        self, taken: Taken, outcome: Outcome, asked_wait: int = 0, report: Report | None = None
+        self,
+        taken: Taken,
+        outcome: Outcome,
+        asked_wait: int = 0,
+        report: Report | None = None,
+        said: setup.Stands | None = None,
     ) -> None:
         """Tells the decisions how the leg of an open dialog fared, and the caller when it stands."""
         asked, leg = taken.setup, taken.leg
@@ -636,8 +663,8 @@
         self._log.debug("leg-over", dialog=asked.dialog, leg=leg, server=server, outcome=word)
         result = LegResult(asked.dialog, leg, server, outcome, asked_wait=asked_wait, report=report)
         heard = self._guarded(asked.dialog, self._driver.leg_result, result)
-        if heard and outcome is Outcome.STANDS:
-            self._answer(taken, setup.Stands(asked.dialog, asked.leg, server))
+        if heard and said is not None:
+            self._answer(taken, msgspec.structs.replace(said, leg=asked.leg, server=server, report=None))
 
     def _answered(self, link: Link, message: setup.OfLeg) -> None:
         """A server's word on a leg; one of a leg that is over here only teaches."""
@@ -661,7 +688,9 @@
             self._over(taken, message.reason)
         else:
             asked_wait = message.asked_wait if isinstance(message, setup.Full) else 0
-            self._end_leg(taken, OUTCOMES[type(message)], asked_wait, report)
+            said = message if isinstance(message, setup.Stands) else None
+            outcome = Outcome.STANDS if said else OUTCOMES[type(message)]
+            self._end_leg(taken, outcome, asked_wait, report, said)
 
     # Links and the list
 
@@ -711,7 +740,7 @@
                 self._teach(dialog_id, leg, link.server, outcome)
                 if taken is not None and ours:
                     self._over(taken, "cut")
-        if link.ended or not link.wanted:
+        if link.is_over:
             self._leaving.discard(link)
             if self._links.get(link.server) is link:
                 del self._links[link.server]
@@ -746,17 +775,7 @@
         if link is not None:
             link.wanted = False
             link.give_up("the list tells another address")
-        link = Link(
-            server,
-            address,
-            self.terms.name,
-            self.terms.links,
-            self._surroundings,
-            self._inbox,
-            self._wait,
-            self._departures,
-        )
-        self._links[server] = link
+        self._links[server] = link = self._make_link(server, address)
         assert self._nursery is not None
         self._nursery.start_soon(link.run)
 
--- /dev/null
+++ b/valverouter/relayedge/buslink.py
@@ -0,0 +1,111 @@
+"""The event bus at the edge: what was known at the start, then long polls, begun again at once."""
+
+from __future__ import annotations
+
+import msgspec
+import structlog
+import trio
+
+from valverouter.edge.events import ListHeard
+from valverouter.edge.links import costs_this_alone
+from valverouter.edge.mail import Inbox
+from valverouter.edge.surroundings import READ, Surroundings
+from valverouter.interface import ListScope
+from valverouter.relayedge import words
+from valverouter.relaywire.bus import Batch, BusSession
+from valverouter.signalling.framing import ProtocolError
+from valverouter.signalling.serverlist import Replica, Row
+from valverouter.terms import platform
+
+log = structlog.get_logger()
+
+
+class BusLink:
+    """Where the platform tells of servers. `number` is the last event's; none is taken twice or in part."""
+
+    def __init__(self, address: str, known: bytes, surroundings: Surroundings, inbox: Inbox) -> None:
+        self.replica = Replica()
+        self.number = 0
+        self.is_up = False
+        self.tries = 0
+        self._address = address
+        self._known = known
+        self._surroundings = surroundings
+        self._inbox = inbox
+        self._attempt = trio.CancelScope()
+
+    def ask(self) -> None:
+        """Nothing to do: it is asked all the time."""
+
+    async def cached(self) -> list[Row]:
+        self.learn(self._known)
+        self._known = b""
+        return []
+
+    def learn(self, known: bytes) -> None:
+        """Events of a configuration, whole."""
+        self._heard(msgspec.json.decode(known, type=Batch))
+
+    def move(self, address: str) -> None:
+        """The event bus is elsewhere now; its numbers go on."""
+        if address != self._address:
+            self._address = address
+            self._attempt.cancel()
+
+    async def keep(self) -> None:
+        """No disk outlives this process."""
+
+    async def run(self) -> None:
+        before = ""
+        while True:
+            why, address = "moved", self._address
+            with costs_this_alone("bus", lambda: self._address), trio.CancelScope() as self._attempt:
+                why = await self._once(address)
+            self.is_up = False
+            self.tries += 1
+            if why != before:
+                log.warning("bus-down", bus=address, why=why, number=self.number)
+            before = why
+            if why != "moved":
+                await trio.sleep(platform.BUS_AGAIN / 1e9)
+
+    async def _once(self, address: str) -> str:
+        """Polls on one connection until it is of no further use; why."""
+        hold = platform.BUS_HOLD
+        try:
+            with trio.fail_after(platform.BUS_LATE / 1e9):
+                stream = await self._surroundings.connect(address)
+        except (OSError, ValueError, OverflowError, trio.TooSlowError) as error:
+            return f"no connection: {error or type(error).__name__}"
+        session = BusSession(address)
+        async with stream:
+            try:
+                while True:
+                    with trio.fail_after((hold + platform.BUS_LATE) / 1e9):
+                        await stream.send_all(session.ask(self.number, hold // 10**6))
+                        batch = None
+                        while batch is None:
+                            batch = session.receive(await stream.receive_some(READ))
+                    self._heard(batch)
+                    self.is_up, self.tries = True, 0
+                    if not session.may_ask_again:
+                        return "closed"
+            except ProtocolError as error:
+                return f"{error.code}: {error}"
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return "reset"
+            except trio.TooSlowError:
+                return "silent"
+
+    def _heard(self, batch: Batch) -> None:
+        for event in batch.batch:
+            if event.offset <= self.number:
+                continue
+            self.number = event.offset
+            if event.topology is None:
+                continue
+            now = self._surroundings.wall()
+            rows = [words.row(host, now) for host in event.topology.hosts]
+            scope = ListScope.WHOLE if event.topology.whole else ListScope.CHANGES
+            self._inbox.put_first(ListHeard(scope, rows))
+        self.number = max(self.number, batch.offset)
--- /dev/null
+++ b/valverouter/relayedge/callers.py
@@ -0,0 +1,154 @@
+"""Callers on the platform: their set-ups in, answers and releases out, and no patience with nonsense."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+import trio
+
+from valverouter.edge.clock import Clock
+from valverouter.edge.events import FromCaller
+from valverouter.edge.listener import Caller
+from valverouter.edge.mail import Departures, Inbox, Overfull
+from valverouter.edge.surroundings import READ
+from valverouter.interface import Deployment
+from valverouter.relayedge import words
+from valverouter.relaywire import isup
+from valverouter.signalling import setup
+from valverouter.signalling.framing import ProtocolError
+from valverouter.signalling.greeting import Welcome
+from valverouter.terms.edge import Links
+
+log = structlog.get_logger()
+
+# Many alike are told by one line in as long a time.
+TOLD_S = 10.0
+
+
+class Seldom:
+    """Tells of the first of many alike, and how many went untold since. One entry for each kind."""
+
+    def __init__(self) -> None:
+        self._untold: dict[str, tuple[float, int]] = {}
+
+    def tell(self, kind: str, why: str) -> None:
+        now = trio.current_time()
+        at, untold = self._untold.get(kind, (-TOLD_S, 0))
+        if now - at < TOLD_S:
+            self._untold[kind] = at, untold + 1
+            return
+        log.warning("caller-refused", kind=kind, why=why, untold=untold)
+        self._untold[kind] = now, 0
+
+
+class RelayCaller(Caller):
+    """One caller's connection on the platform. `dialogs` are the open ones; what stands belongs to nobody.
+
+    `useful` once it has asked for something sound: until then, and while a message is half sent, it is closed
+    when `hello_within` has passed.
+    """
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        terms: Links,
+        inbox: Inbox,
+        departures: Departures,
+        clock: Clock,
+        deployment: Deployment,
+        passes: Callable[[], bool],
+        seldom: Seldom,
+    ) -> None:
+        super().__init__(stream, terms, inbox, Welcome(0, "", 0), departures)
+        self.useful = False
+        self.heard_at = trio.current_time()
+        self._clock = clock
+        self._deployment = deployment
+        self._passes = passes
+        self._seldom = seldom
+        self._reader = isup.MessageReader()
+
+    @property
+    def is_open(self) -> bool:
+        return not self._scope.cancel_called
+
+    def close(self) -> None:
+        self._scope.cancel()
+
+    def send(self, message: Any) -> None:
+        if data := words.to_caller(message):
+            self.write(data)
+
+    def write(self, data: bytes) -> None:
+        if self._scope.cancel_called:
+            return
+        try:
+            self._outbox.put(data)
+        except Overfull as error:
+            self._seldom.tell("too-slow", str(error))
+            self._scope.cancel()
+
+    def expire(self, dialog_id: str, leg: int) -> None:
+        pass
+
+    def refuse(self, error: ProtocolError) -> None:
+        # A word under the id of an open set-up would pass for that one's answer: the connection goes instead.
+        self._seldom.tell(error.code, str(error))
+        self._scope.cancel()
+
+    def _silent(self) -> None:
+        self._seldom.tell("silent", "nothing of use in time")
+
+    async def _part(self, stream: trio.abc.Stream, error: ProtocolError) -> None:
+        self._seldom.tell(error.code, str(error))
+
+    async def _read(self, stream: trio.abc.Stream) -> None:
+        limit = self._terms.hello_within / 1e9
+        half = False
+        with trio.fail_after(limit) as patience:
+            while data := await stream.receive_some(READ):
+                # A dialog's time runs from its last byte, not from when its turn comes.
+                came_at = self._clock.now()
+                self.heard_at = trio.current_time()
+                await self._inbox.room()
+                for message in self._reader.feed(data):
+                    self._heard(message, came_at)
+                was_half, half = half, self._reader.is_half
+                if half and not was_half and self.useful:
+                    patience.deadline = trio.current_time() + limit
+                elif self.useful and not half:
+                    patience.deadline = float("inf")
+
+    def _heard(self, message: isup.Message, came_at: int) -> None:
+        if message.type == isup.TEST:
+            self.useful = True
+            cause = bytes((int(self._passes()),))
+            self.write(isup.write(isup.TESTED, message.id, {isup.CAUSE: cause}))
+        elif message.type == isup.REL:
+            self._inbox.put(FromCaller(self, setup.Cancel(message.id), came_at))
+        elif message.type == isup.IAM:
+            try:
+                asked = words.asked(message, self._deployment)
+            except ProtocolError as error:
+                self._seldom.tell(error.code, str(error))
+                self.write(isup.release(message.id, words.UNUSABLE))
+                return
+            if isinstance(asked, words.Asked):
+                self.useful = True
+                self._inbox.put(FromCaller(self, asked, came_at))
+            else:
+                self._inbox.put(ToldStanding(self, asked))
+        elif message.type not in (isup.RLC, isup.ACM):
+            raise ProtocolError("out-of-state", f"type {message.type} from a caller")
+
+
+class ToldStanding:
+    """A caller tells of a dialog that stands already."""
+
+    __slots__ = ("caller", "stood")
+
+    def __init__(self, caller: RelayCaller, stood: words.Stood) -> None:
+        self.caller = caller
+        self.stood = stood
--- /dev/null
+++ b/valverouter/relayedge/proxy.py
@@ -0,0 +1,181 @@
+"""The edge proxy behind the platform's protocol: what differs is who owns what stands, and where word comes
+from and goes to. Turns, books and rules are `EdgeProxy`'s, decisions the module's."""
+
+from __future__ import annotations
+
+import msgspec
+import structlog
+import trio
+
+from valverouter.edge.events import CallerLost, ListHeard
+from valverouter.edge.links import Link
+from valverouter.edge.listener import Caller
+from valverouter.edge.proxy import EdgeProxy, Taken
+from valverouter.edge.surroundings import Surroundings
+from valverouter.relayedge.buslink import BusLink
+from valverouter.relayedge.callers import RelayCaller, Seldom, ToldStanding
+from valverouter.relayedge.links import RelayLink, UnknownEnds
+from valverouter.signalling import setup
+from valverouter.terms.platform import Platform
+
+log = structlog.get_logger()
+
+# For so long an end that found no caller's connection is kept for the next one.
+UNTOLD_S = 8.0
+
+
+class RelayProxy(EdgeProxy):
+    """An instance on the platform. Beside `EdgeProxy`'s tables: the callers connected, and ends not told."""
+
+    def __init__(self, platform: Platform, surroundings: Surroundings) -> None:
+        self._platform = platform
+        self._ends = UnknownEnds()
+        self._seldom = Seldom()
+        # Callers' connections, the one heard last at the end; each leaves when it closes.
+        self._connected: dict[RelayCaller, None] = {}
+        # Ends that no connection was there for; emptied by the next connection, and by time.
+        self._untold: list[tuple[float, setup.Ended]] = []
+        self._born: dict[str, int] = {}
+        super().__init__(platform.terms, surroundings)
+        self._handlers[ToldStanding] = self._told_standing
+
+    def reconfigure(self, platform: Platform) -> None:
+        """A new configuration: the event bus's address and events act, all else waits for a new start."""
+        assert isinstance(self._list, BusLink)
+        self._list.learn(platform.known)
+        self._list.move(platform.terms.list_service)
+        self._log.info("reconfigured", bus=platform.terms.list_service)
+
+    # The seams
+
+    def _make_list(self) -> BusLink:
+        return BusLink(self.terms.list_service, self._platform.known, self._surroundings, self._inbox)
+
+    def _make_link(self, server: str, address: str) -> Link:
+        return RelayLink(
+            server,
+            address,
+            self.terms.links,
+            self._surroundings,
+            self._inbox,
+            self._wait,
+            self._departures,
+            self._ends,
+        )
+
+    @property
+    def _is_done(self) -> bool:
+        # Ends are passed on as long as that is possible.
+        return not self._dialogs
+
+    async def _talk(self, stream: trio.abc.Stream) -> None:
+        caller = RelayCaller(
+            stream,
+            self.terms.links,
+            self._inbox,
+            self._departures,
+            self._clock,
+            self.terms.deployment,
+            lambda: not self._stopping,
+            self._seldom,
+        )
+        self._connected[caller] = None
+        if self._untold:
+            untold, self._untold = self._untold, []
+            since = trio.current_time() - UNTOLD_S
+            for at, ended in untold:
+                if at >= since:
+                    caller.send(ended)
+        try:
+            await caller.run()
+        finally:
+            del self._connected[caller]
+
+    async def _refuse(self, stream: trio.abc.Stream) -> None:
+        """No room: one that has said nothing of use makes way, then one that is idle; else this one goes."""
+        self._refused += 1
+        self._seldom.tell("no-room", f"{self._callers} connections")
+        idle = [caller for caller in self._connected if caller.is_open and not caller.dialogs]
+        if idle:
+            min(idle, key=lambda caller: (caller.useful, caller.heard_at)).close()
+        await trio.aclose_forcefully(stream)
+
+    # Dialogs that stand belong to no connection
+
+    def _caller_lost(self, event: CallerLost) -> None:
+        for dialog_id in list(event.caller.dialogs):
+            if not self._dialogs[dialog_id].stands:
+                self._drop(dialog_id, "caller-gone")
+
+    def _leaves(self, caller: Caller, message: setup.OfLeg) -> None:
+        """A set-up is given up by the connection that it came on; what stands is ended from any."""
+        taken = self._dialogs.get(message.dialog)
+        if taken is None:
+            return
+        if taken.stands:
+            self._release(taken)
+            self._forget(taken)
+        elif taken.caller is caller:
+            self._drop(message.dialog, "cancelled")
+
+    def _drop(self, dialog_id: str, reason: str) -> None:
+        taken = self._dialogs[dialog_id]
+        if taken.stands and reason == "stopping":
+            # It goes on without us: its caller tells our successor of it.
+            self._forget(taken)
+            return
+        super()._drop(dialog_id, reason)
+
+    def _over(self, taken: Taken, reason: str) -> None:
+        self._tell_end(taken.caller, setup.Ended(taken.setup.dialog, 0, reason))
+        self.tally.answers[f"ended-{reason}"] += 1
+        self._forget(taken)
+
+    def _tell_end(self, caller: Caller, ended: setup.Ended) -> None:
+        assert isinstance(caller, RelayCaller)
+        if not caller.is_open:
+            others = [other for other in self._connected if other.is_open]
+            others.sort(key=lambda other: (other.useful, other.heard_at))
+            if not others:
+                self._untold.append((trio.current_time(), ended))
+                return
+            caller = others[-1]
+        caller.send(ended)
+
+    def _told_standing(self, told: ToldStanding) -> None:
+        asked, server = told.stood.asked, told.stood.server
+        if asked.dialog in self._dialogs:
+            return
+        link = self._links.get(server)
+        cut = self._ends.take(asked.dialog)
+        if cut is not None or not isinstance(link, RelayLink) or link.ended:
+            # It has ended while nobody was here, or its server is gone and has cut it.
+            told.caller.send(setup.Ended(asked.dialog, 0, "over" if cut is False else "cut"))
+            return
+        if len(self._dialogs) >= self.terms.links.open_dialogs:
+            return
+        link.stands((asked.dialog, 0))
+        # No description is needed any more; it would stay for as long as the dialog stands.
+        asked = msgspec.structs.replace(asked, description="")
+        self._dialogs[asked.dialog] = Taken(asked, told.caller, 0, leg=0, link=link, legs=1, stands=True)
+
+    # The list
+
+    def _listed(self, heard: ListHeard) -> None:
+        for row in heard.rows:
+            before = self._born.get(row.server)
+            link = self._links.get(row.server)
+            if link is not None and before is not None and before != row.incarnation:
+                # Another process under that name: it knows nothing of what stood at the one before.
+                link.give_up("another start")
+                del self._links[row.server]
+            if row.phase == "gone":
+                self._born.pop(row.server, None)
+            else:
+                self._born[row.server] = row.incarnation
+        super()._listed(heard)
+
+    def _unwant(self, server: str, gone: bool) -> None:
+        super()._unwant(server, gone)
+        if gone and (link := self._links.get(server)) is not None:
+            link.give_up("gone")
--- /dev/null
+++ b/valverouter/relayedge/words.py
@@ -0,0 +1,184 @@
+"""The platform's words on a dialog and ours. No I/O, nothing decided."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from valverouter.interface import Deployment
+from valverouter.relaywire import isup, lines
+from valverouter.relaywire.bus import Host
+from valverouter.signalling import setup
+from valverouter.signalling.framing import ProtocolError
+from valverouter.signalling.serverlist import PhaseWord, Row
+
+MS = 10**6
+
+# Causes, after ITU-T Q.850. What is refused may harmlessly come again, what failed may not.
+ENDED, BUSY, NO_CIRCUIT, CUT, CONGESTED, EXPIRED = 16, 17, 34, 41, 42, 102
+FAULT, UNUSABLE = 47, 100
+PHASES: dict[str, PhaseWord] = {"Ready": "in-service", "Gone": "gone"}
+DESCRIPTION_MOST = 12 * 1024
+NO_DIALOG = "0" * 16
+
+
+class Asked(setup.Setup, frozen=True, kw_only=True):
+    """A set-up with what goes on unchanged: the number called as it was written, and the description."""
+
+    key: str
+    description: str
+
+
+class Answered(setup.Stands, frozen=True, kw_only=True):
+    """A server's answer with its description, which goes to the caller byte for byte."""
+
+    description: str
+
+
+class Stood(msgspec.Struct, frozen=True):
+    """A dialog that stands at a server already, as its caller tells an edge proxy that may not know."""
+
+    asked: Asked
+    server: str
+
+
+def asked(message: isup.Message, terms: Deployment) -> Asked | Stood:
+    """A caller's set-up, checked: a server closes its whole connection on what it can't read, whatever else
+    is open there, so nothing that is not sound may go on. ProtocolError says what is not."""
+    told = message.parameters
+    figures = isup.figures(told.get(isup.FIGURES, b""))
+    kind = _text(told, isup.CLASS)
+    left, key = _text(told, isup.LEFT), _text(told, isup.CALLED)
+    try:
+        description = told.get(isup.DESCRIPTION, b"").decode()
+    except UnicodeDecodeError:
+        raise ProtocolError("malformed", "a description that is no text") from None
+    if kind not in terms.traffic_types:
+        raise ProtocolError("unknown-class", f"class {kind[:40]!r}")
+    if not (left.isascii() and left.isdigit() and len(left) < 8 and 0 < int(left) * MS <= setup.HOUR):
+        raise ProtocolError("malformed", f"time {left[:40]!r}")
+    if len(key) != 16 or not set(key) <= set("0123456789abcdef"):
+        raise ProtocolError("malformed", f"number {key[:40]!r}")
+    if not 0 < len(description) <= DESCRIPTION_MOST:
+        raise ProtocolError("malformed", f"a description of {len(description)} characters")
+    # A number that no server has is no harm: the server rule goes on to the others.
+    first = _figure(figures, "dest", -1)
+    if _figure(figures, "width", 1) < 1:
+        raise ProtocolError("malformed", "width under 1")
+    _figure(figures, "via", -1)
+    found = Asked(
+        dialog=message.id,
+        traffic_type=kind,
+        no_answer=int(left) * MS,
+        first_choice=first,
+        called_number=int(key, 16),
+        was_cut=_figure(figures, "again", 0) == 1,
+        key=key,
+        description=description,
+    )
+    return Stood(found, figures["at"]) if "at" in figures else found
+
+
+def _text(told: dict[int, bytes], code: int) -> str:
+    try:
+        return told.get(code, b"").decode("ascii")
+    except UnicodeDecodeError:
+        raise ProtocolError("malformed", f"parameter {code} is no ASCII") from None
+
+
+def _figure(figures: dict[str, str], name: str, absent: int) -> int:
+    word = figures.get(name)
+    if word is None:
+        return absent
+    digits = word.removeprefix("-")
+    if not (digits.isdigit() and len(digits) < 10) or int(word) < -1:
+        raise ProtocolError("malformed", f"figure {name}:{word[:40]}")
+    return int(word)
+
+
+def to_caller(message: setup.OfLeg) -> bytes:
+    """What an answer or an end is on the caller's connection; b"": it has no word there."""
+    id_ = message.dialog
+    match message:
+        case Answered(description=description):
+            return isup.write(isup.ANM, id_, {isup.DESCRIPTION: description.encode()})
+        case setup.Declined(come_back=come_back):
+            return isup.release(id_, CONGESTED, -(-come_back // MS))
+        case setup.Aborted(reason="cancelled" | "caller-gone"):
+            return b""
+        case setup.Aborted():
+            return isup.release(id_, CUT)
+        case setup.Ended(reason="cut"):
+            return isup.release(id_, CUT)
+        case setup.Ended():
+            return isup.release(id_, ENDED)
+    return b""
+
+
+def to_server(message: Asked) -> bytes:
+    left = max(1, message.no_answer // MS)
+    return lines.setup(message.dialog, message.traffic_type, message.key, left, message.description)
+
+
+_refusals: dict[int, Callable[[str, int, str, setup.Load | None], setup.OfLeg]] = {
+    NO_CIRCUIT: lambda id_, leg, note, load: (
+        setup.NoAgent(id_, leg, load) if note == "no_path" else setup.Full(id_, leg, 0, load)
+    ),
+    BUSY: lambda id_, leg, note, load: _fault(id_, leg, note, load),
+    FAULT: lambda id_, leg, note, load: _fault(id_, leg, note, load),
+}
+
+
+def _fault(id_: str, leg: int, note: str, load: setup.Load | None) -> setup.OfLeg:
+    return setup.LineBusy(id_, leg, load) if note == "line_taken" else setup.Fault(id_, leg, "", load)
+
+
+def refusal(line: lines.Line, leg: int) -> setup.OfLeg | None:
+    """A server's release before its answer; None where the set-up broke on its way: a reset."""
+    made = _refusals.get(-1 if line.cause is None else line.cause)
+    note = line.fields.get("note", "")
+    return made(line.id, leg, str(note), load(line)) if made else None
+
+
+# What a report's figures are called, by the settings and on the sockets.
+_FREE, _LINES, _WAIT, _UTIL, _QUEUE = (
+    ("x0", "idle"),
+    ("x1", "circuits"),
+    ("latency_ms", "recent_ms"),
+    ("util", "utilization"),
+    ("queue", "backlog"),
+)
+
+
+def load(line: lines.Line) -> setup.Load | None:
+    """The report that came with a message; None: none came. What is -1 there was not told."""
+    text = line.fields.get("load")
+    if not isinstance(text, str):
+        return None
+    told = lines.load(text)
+
+    def figure(names: tuple[str, str]) -> float | None:
+        return next((told[name] for name in names if name in told), None)
+
+    free, all_, wait, queue = figure(_FREE), figure(_LINES), figure(_WAIT), figure(_QUEUE)
+    return setup.Load(
+        util=figure(_UTIL),
+        queue=None if queue is None else int(queue),
+        free_lines=None if free is None else int(free),
+        lines=None if all_ is None else int(all_),
+        wait=None if wait is None else round(wait * MS),
+    )
+
+
+def row(host: Host, now: int) -> Row:
+    """One server of the list; `now` is the system's Unix clock, by which starts are told."""
+    return Row(
+        server=host.host,
+        number=host.block,
+        phase=PHASES.get(host.health, "draining"),
+        address=host.dial,
+        region=host.site,
+        incarnation=host.born_ms,
+        age=max(0, now - host.born_ms * MS) if host.born_ms else None,
+    )
--- /dev/null
+++ b/valverouter/terms/platform.py
@@ -0,0 +1,99 @@
+"""The configuration of the operators' platform: JSON in, the edge's terms out, every flaw named.
+
+What the product has and the platform has no room for (a cached list, accounts, a ledger) stays off.
+"""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct
+
+from valverouter.terms.edge import EdgeTerms, Links, Log
+from valverouter.terms.options import US, MalformedInputError, Options, deployment
+
+MS, SECOND = 10**6, 10**9
+
+# Taken off a dialog's time, so that an answer given at the last moment still comes in time.
+ANSWER_MARGIN = 50 * MS
+# A long poll of the event bus. One that stopped is told by its silence, so a short one is noticed sooner.
+BUS_HOLD = 2 * SECOND
+# How long past the hold an answer may take, and a break may leave us without a connection.
+BUS_LATE = 500 * MS
+BUS_AGAIN = 100 * MS
+# A server that was asked and says nothing; a test passes at once, so this bounds the network alone.
+SILENCE = 2 * SECOND
+# For so long a caller's connection may say nothing that is of use, or leave a message half sent.
+USEFUL_WITHIN = 2 * SECOND
+# A server that can't be reached for so long has cut what stood there.
+CUT_AFTER = 4 * SECOND
+# After SIGTERM connections and requests go on coming for so long.
+GOES_ON = SECOND
+
+
+class Restraints(Struct):
+    """`limits` of the configuration."""
+
+    cores: float = 1.0
+    memory_mb: int = 192
+    sockets: int = 1024
+
+
+class Configuration(Struct):
+    """The file as it stands; what is not named here is ignored."""
+
+    name: str
+    listen: str
+    seed: str
+    bus: str
+    settings: Options
+    known: msgspec.Raw = msgspec.Raw(b'{"offset":0,"batch":[]}')
+    limits: Restraints = msgspec.field(default_factory=Restraints)
+
+
+class Platform(Struct, frozen=True):
+    """All that an edge proxy on the platform is told. `known`: the event bus's events of the start."""
+
+    terms: EdgeTerms
+    known: bytes
+    longest: int
+    sockets: int
+
+
+def platform(data: bytes) -> Platform:
+    """MalformedInputError names the field that is missing or can't be used."""
+    try:
+        told = msgspec.json.decode(data, type=Configuration)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise MalformedInputError(str(error)) from None
+    try:
+        seed = int(told.seed, 16)
+    except ValueError:
+        raise MalformedInputError(f"seed: {told.seed!r} is no hexadecimal number") from None
+    for name, address in (("listen", told.listen), ("bus", told.bus)):
+        host, _, port = address.rpartition(":")
+        if not (host and port.isascii() and port.isdigit() and int(port) < 65_536):
+            raise MalformedInputError(f"{name}: {address!r} is no HOST:PORT")
+    options = told.settings
+    deployed = deployment(options)
+    links = Links(
+        connect_within=max(1, options.limits.connectTimeoutUs) * US,
+        silence=SILENCE,
+        hello_within=USEFUL_WITHIN,
+        open_dialogs=max(1, options.limits.openCap),
+        callers=max(1, told.limits.sockets // 2),
+        stop_within=max(c.deadlineUs for c in options.categories) * US,
+    )
+    terms = EdgeTerms(
+        name=told.name,
+        listen=told.listen,
+        list_service=told.bus,
+        place=options.me,
+        region="",
+        seed=seed,
+        list_cache="",
+        answer_margin=ANSWER_MARGIN,
+        deployment=deployed,
+        links=links,
+        log=Log(),
+    )
+    return Platform(terms, bytes(told.known), links.stop_within, told.limits.sockets)
--- a/valverouter/wirehost/codec.py
+++ b/valverouter/wirehost/codec.py
@@ -14,7 +14,6 @@
     CancelLeg,
     Command,
     Decline,
-    Deployment,
     Dialog,
     Leg,
     LegResult,
@@ -24,8 +23,10 @@
     Report,
     ServerEntry,
     Subscribe,
-    TrafficType,
 )
+from valverouter.terms.options import MalformedInputError, Options, deployment
+
+__all__ = ["MalformedInputError", "Options", "deployment"]
 
 US = 1_000
 MS = 1_000_000
@@ -44,10 +45,6 @@
 )
 
 
-class MalformedInputError(ValueError):
-    """A line, message, field or setting that can't be used; its text says which."""
-
-
 class Row(Struct):
     phase: str
     server: str
@@ -60,50 +57,6 @@
     rows: list[Row]
 
 
-class Category(Struct):
-    name: str
-    objectiveUs: int
-    deadlineUs: int
-    importance: float = 1.0
-    semantics: str = "read_like"
-
-
-class Extra(Struct):
-    classCells: list[list[int]] = []
-    callLengthUs: list[int] = []
-    here: int = -1
-    releaseGuardUs: int = 0
-
-
-class Limits(Struct):
-    sendCap: int
-    maxRetryAfterUs: int = 0
-    retryAfter: bool = False
-    mayCancel: bool = False
-
-
-class LoadFields(Struct):
-    fields: list[str] = []
-
-
-class Rules(Struct):
-    startCapacity: float = 1.0
-    tipMultiple: float = 1.0
-    fallUs: int = 0
-    warmWithinUs: int = 0
-
-
-class Options(Struct):
-    categories: list[Category]
-    nInstances: int
-    discovery: str
-    limits: Limits
-    me: int = 0
-    extra: Extra = msgspec.field(default_factory=Extra)
-    report: LoadFields = msgspec.field(default_factory=LoadFields)
-    rules: Rules = msgspec.field(default_factory=Rules)
-
-
 class PowerOn(Struct):
     proxyId: str
     seed: int
@@ -218,59 +171,6 @@
         yield held[0]
 
 
-def deployment(options: Options) -> Deployment:
-    """The settings in our words, or MalformedInputError where they can't hold."""
-    limits, extra, rules = options.limits, options.extra, options.rules
-    if not options.categories:
-        raise MalformedInputError("powerOn: options.categories is empty")
-    for name, value, least in (
-        ("nInstances", options.nInstances, 1),
-        ("limits.sendCap", limits.sendCap, 1),
-        ("limits.maxRetryAfterUs", limits.maxRetryAfterUs, 0),
-        ("extra.releaseGuardUs", extra.releaseGuardUs, 0),
-        ("rules.warmWithinUs", rules.warmWithinUs, 0),
-        ("rules.fallUs", rules.fallUs, 0),
-        ("me", options.me, 0),
-        *((f"categories[{c.name}].objectiveUs", c.objectiveUs, 1) for c in options.categories),
-    ):
-        if value < least:
-            raise MalformedInputError(f"powerOn: options.{name} is {value}, must be {least} or more")
-    if not 0 < rules.startCapacity <= 1:
-        raise MalformedInputError("powerOn: options.rules.startCapacity must lie above 0 and not above 1")
-    if rules.tipMultiple <= 0:
-        raise MalformedInputError("powerOn: options.rules.tipMultiple must lie above 0")
-    if options.discovery not in ("pushed", "on_request"):
-        raise MalformedInputError(f"powerOn: options.discovery is {options.discovery!r}")
-    cells, lengths = extra.classCells, extra.callLengthUs
-    for name, values in (("classCells", cells), ("callLengthUs", lengths)):
-        if values and len(values) != len(options.categories):
-            raise MalformedInputError(f"powerOn: options.extra.{name} does not match options.categories")
-    return Deployment(
-        traffic_types={
-            c.name: TrafficType(
-                objective=c.objectiveUs * US,
-                importance=c.importance,
-                length=lengths[at] * US if lengths else 0,
-                repeatable=c.semantics == "read_like",
-                server_numbers=frozenset(cells[at]) if cells else None,
-            )
-            for at, c in enumerate(options.categories)
-        },
-        edge_proxies=options.nInstances,
-        place=options.me,
-        own_number=extra.here,
-        list_is_pushed=options.discovery == "pushed",
-        legs_allowed=limits.sendCap,
-        may_cancel=limits.mayCancel,
-        come_back_limit=limits.maxRetryAfterUs * US if limits.retryAfter else 0,
-        release_wait=extra.releaseGuardUs * US,
-        cold_share=rules.startCapacity,
-        tip_multiple=rules.tipMultiple,
-        tip_span=rules.fallUs * US,
-        warm_after=rules.warmWithinUs * US,
-    )
-
-
 def scope(message: Sync) -> ListScope:
     try:
         return SCOPES[message.scope]
