A far region is not a late one; bad callers cost good ones no windows, tokens or links

Causes: (1) control.py learn(): an answer counted as prompt within 0.3 of the least objective, 60 ms there, and the network alone takes 40 to 60: windows fell to under 2 at idle servers. Now also within twice the least delay of a set-up that stood, up to half of the objective; how much a server carries is still judged as before. (2) words.asked(): a set-up without an id went on, and servers close the connection on it. (3) Set-ups that a class can't have went on and came back as faults, a token of the retry budget each. (4) Ids that had their answer came again hundreds of times and were new dialogs each. (5) proxy._leg_over(): a leg taken back unsent by its caller was taught as unreachable, which shut its server out.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -235,6 +235,23 @@
     assert (rig.control._fars["s0"].window > control.WINDOW_FIRST) is grows
 
 
+@pytest.mark.parametrize(("waits", "grows"), [
+    ([300, 550], True),  # no wait there could shorten it below 300 ms
+    ([100, 550], False),
+    ([300, -20, 550], True),  # a fault is told without a wait and shows no least
+    ([900, 900], False),  # a server that began in a jam
+])
+def test_a_far_region_is_not_a_late_one(waits: list[int], grows: bool) -> None:
+    rig = Rig(servers=1)
+    for wait in waits:
+        before = rig.control._fars["s0"].window
+        id_ = rig.dialog(0)
+        rig.ahead(abs(wait) * MS)
+        rig.result(id_, "s0", Outcome.STANDS if wait > 0 else Outcome.FAULT)
+        rig.ahead(SECOND)
+    assert (rig.control._fars["s0"].window > before) is grows
+
+
 @pytest.mark.parametrize(("busy", "prompt", "said"), [
         ([100, 100], False, "s1"), ([100, 119], False, "s1"), ([100, 121], False, "declined"),
         ([100, 121], True, "s1"), ([], False, "s1"),
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -66,13 +66,16 @@
 
 # Unanswered legs that a server may hold of ours: the count at first, at most and at least, what a prompt
 # answer adds, what remains after a late one or a failure, and which share of the least objective counts as
-# prompt. Under one it still lets a single leg through; it only takes longer to widen again.
+# prompt, or so many times the least delay seen up to a larger share. Under one it still lets a single leg
+# through; it only takes longer to widen again.
 WINDOW_FIRST = 4.0
 WINDOW_MOST = 8.0
 WINDOW_LEAST = 0.2
 WINDOW_GROWS = 0.5
 WINDOW_KEEPS = 0.6
 PROMPT_SHARE = 0.3
+PROMPT_MOST_SHARE = 0.5
+PROMPT_LEASTS = 2
 
 # How long news that a server has no free agent holds without being told again, and a 'no free agent' reply to
 # a leg of ours; for how long what the fleet takes there must be free to end it sooner.
@@ -169,6 +172,7 @@
         self.busy = 0.0
         self.answered_sent_at = 0
         self.delay = 0
+        self.least = 0
         self.heard_at = now
         self.fades: float = NEWS_FADES
         # Unanswered legs by (dialog, leg) with their time of sending; emptied by their results.
@@ -240,7 +244,9 @@
             deployment.traffic_types
         )
         least = min(t.importance for t in deployment.traffic_types.values())
-        self._prompt = int(PROMPT_SHARE * min(t.objective for t in deployment.traffic_types.values()))
+        shortest = min(t.objective for t in deployment.traffic_types.values())
+        self._prompt = int(PROMPT_SHARE * shortest)
+        self._prompt_most = int(PROMPT_MOST_SHARE * shortest)
         self._important = {n for n, t in deployment.traffic_types.items() if t.importance > least}
 
     # News
@@ -327,10 +333,16 @@
         answered = (Outcome.STANDS, Outcome.ENDED, Outcome.LINE_BUSY, Outcome.FAULT)
         if result.outcome in answered:
             far.failures = 0
-            far.heard(self.now - sent_at, self.now, self._turn(far))
-            prompt = self.now - sent_at <= self._prompt
-            far.adapt(prompt, sent_at, self.now)
-            if prompt:
+            delay = self.now - sent_at
+            far.heard(delay, self.now, self._turn(far))
+            if result.outcome is Outcome.STANDS:
+                far.least = min(far.least or delay, delay)
+            # A far region's answers are never prompt against a short objective, however idle its server: what
+            # no wait there could shorten is no sign of one. A fault may be told without a wait, so only
+            # stands show that least; a server that began in a jam shows a jam's, hence the bound.
+            bound = max(self._prompt, min(PROMPT_LEASTS * far.least, self._prompt_most))
+            far.adapt(delay <= bound, sent_at, self.now)
+            if delay <= self._prompt:
                 self._carries(far)
             if result.outcome is not Outcome.STANDS:
                 return []
--- a/valverouter/edge/listener.py
+++ b/valverouter/edge/listener.py
@@ -67,7 +67,6 @@
                 try:
                     await self._read(stream)
                 except ProtocolError as error:
-                    log.warning("caller-refused", caller=self.name, code=error.code, why=str(error))
                     await self._part(stream, error)
                 except (trio.BrokenResourceError, trio.ClosedResourceError):
                     pass
@@ -82,6 +81,7 @@
 
     async def _part(self, stream: trio.abc.Stream, error: ProtocolError) -> None:
         """The last word to a caller that broke the protocol."""
+        log.warning("caller-refused", caller=self.name, code=error.code, why=str(error))
         await say_farewell(stream, self._session, error)
 
     async def _write(self, stream: trio.abc.Stream) -> None:
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -628,7 +628,12 @@
                 # The dialog went first; the decisions still count this leg as out.
                 if (link := self._links.get(over.server)) is not None:
                     link.legs.pop(key, None)
-                self._teach(over.dialog_id, over.leg, over.server, over.outcome)
+                # Taken back before it left because its caller gave up, it says nothing of the server: taught
+                # as unreachable, one caller that takes back what it asks for at once shut the server out.
+                unsent = over.outcome is Outcome.UNREACHABLE
+                self._teach(
+                    over.dialog_id, over.leg, over.server, Outcome.NOT_SENT if unsent else over.outcome
+                )
             return
         if over.outcome is Outcome.TIMED_OUT and taken.link is not None and taken.link.legs.get(key) is False:
             self._let_go(taken, over.outcome)
--- a/valverouter/relayedge/callers.py
+++ b/valverouter/relayedge/callers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import structlog
@@ -43,6 +43,24 @@
         self._untold[kind] = now, 0
 
 
+class AnsweredIds:
+    """Ids that had their final answer or were given up: every set-up has a new one, so who comes with one of
+    these again is no good caller, and each would be a dialog more for the decisions. Holds the last so many.
+    """
+
+    def __init__(self, most: int = 2_048) -> None:
+        self._most = most
+        self._ids: dict[str, None] = {}
+
+    def add(self, id_: str) -> None:
+        self._ids[id_] = None
+        if len(self._ids) > self._most:
+            del self._ids[next(iter(self._ids))]
+
+    def __contains__(self, id_: str) -> bool:
+        return id_ in self._ids
+
+
 class RelayCaller(Caller):
     """One caller's connection on the platform. `dialogs` are the open ones; what stands belongs to nobody.
 
@@ -58,7 +76,9 @@
         departures: Departures,
         clock: Clock,
         deployment: Deployment,
+        widths: Mapping[str, int],
         passes: Callable[[], bool],
+        answered: AnsweredIds,
         seldom: Seldom,
     ) -> None:
         super().__init__(stream, terms, inbox, Welcome(0, "", 0), departures)
@@ -66,7 +86,9 @@
         self.heard_at = trio.current_time()
         self._clock = clock
         self._deployment = deployment
+        self._widths = widths
         self._passes = passes
+        self._answered = answered
         self._seldom = seldom
         self._reader = isup.MessageReader()
 
@@ -114,6 +136,8 @@
                 self.heard_at = trio.current_time()
                 await self._inbox.room()
                 for message in self._reader.feed(data):
+                    if self._scope.cancel_called:
+                        return
                     self._heard(message, came_at)
                 was_half, half = half, self._reader.is_half
                 if half and not was_half and self.useful:
@@ -130,7 +154,11 @@
             self._inbox.put(FromCaller(self, setup.Cancel(message.id), came_at))
         elif message.type == isup.IAM:
             try:
-                asked = words.asked(message, self._deployment)
+                if message.id in self._answered:
+                    # It may have come hundreds of times at once: the connection goes, not one word for each.
+                    self.refuse(ProtocolError("out-of-state", f"{message.id} has had its answer"))
+                    return
+                asked = words.asked(message, self._deployment, self._widths)
             except ProtocolError as error:
                 self._seldom.tell(error.code, str(error))
                 self.write(isup.release(message.id, words.UNUSABLE))
--- a/valverouter/relayedge/proxy.py
+++ b/valverouter/relayedge/proxy.py
@@ -13,7 +13,7 @@
 from valverouter.edge.proxy import EdgeProxy, Taken
 from valverouter.edge.surroundings import Surroundings
 from valverouter.relayedge.buslink import BusLink
-from valverouter.relayedge.callers import RelayCaller, Seldom, ToldStanding
+from valverouter.relayedge.callers import AnsweredIds, RelayCaller, Seldom, ToldStanding
 from valverouter.relayedge.links import RelayLink, UnknownEnds
 from valverouter.signalling import setup
 from valverouter.terms.platform import Platform
@@ -30,6 +30,7 @@
     def __init__(self, platform: Platform, surroundings: Surroundings) -> None:
         self._platform = platform
         self._ends = UnknownEnds()
+        self._answered_ids = AnsweredIds()
         self._seldom = Seldom()
         # Callers' connections, the one heard last at the end; each leaves when it closes.
         self._connected: dict[RelayCaller, None] = {}
@@ -38,6 +39,7 @@
         self._born: dict[str, int] = {}
         super().__init__(platform.terms, surroundings)
         self._handlers[ToldStanding] = self._told_standing
+        self._log.info("started", limits=msgspec.structs.asdict(platform.limits), seed=platform.terms.seed)
 
     def reconfigure(self, platform: Platform) -> None:
         """A new configuration: the event bus's address and events act, all else waits for a new start."""
@@ -76,7 +78,9 @@
             self._departures,
             self._clock,
             self.terms.deployment,
+            self._platform.widths,
             lambda: not self._stopping,
+            self._answered_ids,
             self._seldom,
         )
         self._connected[caller] = None
@@ -100,6 +104,10 @@
             min(idle, key=lambda caller: (caller.useful, caller.heard_at)).close()
         await trio.aclose_forcefully(stream)
 
+    def _forget(self, taken: Taken) -> None:
+        super()._forget(taken)
+        self._answered_ids.add(taken.setup.dialog)
+
     # Dialogs that stand belong to no connection
 
     def _caller_lost(self, event: CallerLost) -> None:
--- a/valverouter/relayedge/words.py
+++ b/valverouter/relayedge/words.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -43,9 +43,13 @@
     server: str
 
 
-def asked(message: isup.Message, terms: Deployment) -> Asked | Stood:
+def asked(message: isup.Message, terms: Deployment, widths: Mapping[str, int]) -> Asked | Stood:
     """A caller's set-up, checked: a server closes its whole connection on what it can't read, whatever else
     is open there, so nothing that is not sound may go on. ProtocolError says what is not."""
+    if message.id == NO_DIALOG:
+        # Servers close the connection on it: on a day of bad callers 45 did, each a reset for the legs there
+        # and a server taken for ailing.
+        raise ProtocolError("malformed", "a set-up without an id")
     told = message.parameters
     figures = isup.figures(told.get(isup.FIGURES, b""))
     kind = _text(told, isup.CLASS)
@@ -62,10 +66,14 @@
         raise ProtocolError("malformed", f"number {key[:40]!r}")
     if not 0 < len(description) <= DESCRIPTION_MOST:
         raise ProtocolError("malformed", f"a description of {len(description)} characters")
-    # A number that no server has is no harm: the server rule goes on to the others.
-    first = _figure(figures, "dest", -1)
-    if _figure(figures, "width", 1) < 1:
-        raise ProtocolError("malformed", "width under 1")
+    # Servers answer 'error' to what a class can't have: each costs a token of the retry budget that is meant
+    # for good callers' dialogs.
+    first, numbers = _figure(figures, "dest", -1), terms.traffic_types[kind].server_numbers
+    if first >= 0 and numbers is not None and first not in numbers:
+        raise ProtocolError("malformed", f"{kind} with first choice {first}")
+    width = _figure(figures, "width", 1)
+    if width != widths.get(kind, width) or width < 1:
+        raise ProtocolError("malformed", f"{kind} with width {width}")
     _figure(figures, "via", -1)
     found = Asked(
         dialog=message.id,
--- a/valverouter/terms/options.py
+++ b/valverouter/terms/options.py
@@ -28,6 +28,7 @@
 class Extra(Struct):
     classCells: list[list[int]] = []
     callLengthUs: list[int] = []
+    circuitsByClass: list[int] = []
     here: int = -1
     releaseGuardUs: int = 0
 
--- a/valverouter/terms/platform.py
+++ b/valverouter/terms/platform.py
@@ -55,8 +55,9 @@
 
     terms: EdgeTerms
     known: bytes
-    longest: int
-    sockets: int
+    limits: Restraints
+    # Circuits that a dialog of a type takes; a type that is not here may say any.
+    widths: dict[str, int]
 
 
 def platform(data: bytes) -> Platform:
@@ -96,4 +97,5 @@
         links=links,
         log=Log(),
     )
-    return Platform(terms, bytes(told.known), links.stop_within, told.limits.sockets)
+    widths = dict(zip([c.name for c in options.categories], options.extra.circuitsByClass, strict=False))
+    return Platform(terms, bytes(told.known), told.limits, widths)
