Spans that speak of a dialog's life are shares of its length; another start cuts only what stood before

Checked by a trace, second by second, of windows, waits, failures, busy lines and news at each server, of what stood in the way of each declined dialog, and of the links' log.

Causes: (1) control._finds_room(): ROOM_SPAN was a fixed second against dialogs that the platform scales to between one and three; now a tenth of a dialog's length, as it was for dialogs of ten seconds. (2) control.report(), learn(): news of no free agent held for a fixed second, a whole dialog there; now a tenth of a length too. (3) relayedge _listed(): the list's word of another start came after the new process had taken calls, and those were cut as well; now only what stood before that start.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -31,7 +31,7 @@
 
     def __init__(self, servers: int = 3, now: int = 100 * SECOND, **terms: Any) -> None:
         self.now = now
-        self.driver = Driver(interface.Deployment(traffic_types=TYPES, **TERMS | terms), 7, now)
+        self.driver = Driver(interface.Deployment(**{"traffic_types": TYPES} | TERMS | terms), 7, now)
         self.control = self.driver.control
         self.listed(
             [interface.ServerEntry(f"s{n}", n, True) for n in range(servers)], interface.ListScope.CACHED
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -4,15 +4,16 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from itertools import pairwise
 from typing import Any
 
 import pytest
 
-from tests.helpers import MS, SECOND, Rig
+from tests.helpers import MS, SECOND, TYPES, Rig
 from valverouter import control
 from valverouter.control import RetryBudget, Verdict, decide, retry_wait
-from valverouter.interface import ListScope, Outcome, Report, ServerEntry
+from valverouter.interface import ListScope, Outcome, Report, ServerEntry, TrafficType
 
 
 @pytest.mark.parametrize(("failures", "stands", "tokens", "allows"), [
@@ -376,3 +377,41 @@
 @pytest.mark.parametrize("limit", [0, 400 * MS])
 def test_come_back_keeps_to_what_callers_heed(limit: int) -> None:
     assert Rig(come_back_limit=limit).control._come_back(None) <= limit
+
+
+SHORT = {name: replace(kind, length=SECOND) for name, kind in TYPES.items()}
+
+
+@pytest.mark.parametrize(("kinds", "after", "said"), [
+    (TYPES, 150, "declined"), (TYPES, 850, "declined"), (TYPES, 1_050, "s0"),
+    (SHORT, 50, "declined"), (SHORT, 150, "s0"),
+])
+def test_news_of_no_agent_holds_for_a_share_of_a_dialog(
+    kinds: dict[str, TrafficType], after: int, said: str
+) -> None:
+    # Dialogs of one second on a server that told once of no free line: a whole second of news left it idle.
+    rig = Rig(servers=1, traffic_types=kinds)
+    rig.control.report("s0", Report(free_lines=0, lines=100))
+    rig.take()
+    rig.ahead(after * MS)
+    rig.dialog(0)
+    assert rig.said() == said
+
+
+@pytest.mark.parametrize("kinds", [TYPES, SHORT])
+def test_room_for_what_is_passed_by_does_not_hang_on_how_long_dialogs_last(
+    kinds: dict[str, TrafficType],
+) -> None:
+    rig = Rig(servers=2, traffic_types=kinds)
+    for server, busy in (("s0", 200), ("s1", 100)):
+        rig.control.report(server, Report(free_lines=400 - busy, lines=400))
+    rig.control.report("s0", Report(free_lines=0, lines=400))
+    rig.take()
+    stood = 0
+    for _ in range(200):
+        id_ = rig.dialog(0)
+        stood += (said := rig.said()) == "s1"
+        if said == "s1":
+            rig.result(id_, "s1", Outcome.STANDS)
+    # A tenth of a dialog's length must find room: twenty of two hundred lines, and two sigmas are twenty.
+    assert stood == 200
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -78,10 +78,11 @@
 PROMPT_LEASTS = 2
 
 # How long news that a server has no free agent holds without being told again, and a 'no free agent' reply to
-# a leg of ours; for how long what the fleet takes there must be free to end it sooner.
-NO_AGENT_HOLDS = 1 * SECOND
+# a leg of ours; for how long what the fleet takes there must be free to end it sooner. Shares of a dialog's
+# length, in which lines come free: a fixed second left a server idle whose dialogs last one.
+NO_AGENT_HOLDS = 0.1
 NO_AGENT_HOLDS_TURNS = 4
-AGENTS_LAST = 200 * MS
+AGENTS_LAST = 0.02
 
 # How long a number whose lines were all busy is taken to stay so.
 BUSY_NUMBER = 5 * SECOND
@@ -93,9 +94,9 @@
 COLD_TRICKLE = 2 * SECOND
 
 # How far beyond that most a server's busy lines may go by chance, in standard deviations, before they show a
-# queue; and the span in which what servers passed by usually take must find room elsewhere.
+# queue; and for which share of a dialog's length what servers passed by usually take must find room.
 ROOM_SIGMAS = 2
-ROOM_SPAN = 1 * SECOND
+ROOM_SHARE = 0.1
 
 # A leg sent so much before one that stands is taken for lost; above what the network reorders.
 OVERTAKEN_BY = 100 * MS
@@ -244,6 +245,7 @@
             deployment.traffic_types
         )
         least = min(t.importance for t in deployment.traffic_types.values())
+        self._no_agent_holds = NO_AGENT_HOLDS * (self._length or 10 * SECOND)
         shortest = min(t.objective for t in deployment.traffic_types.values())
         self._prompt = int(PROMPT_SHARE * shortest)
         self._prompt_most = int(PROMPT_MOST_SHARE * shortest)
@@ -296,8 +298,8 @@
         if report.free_lines is not None:
             turn = self._turn(far)
             if report.free_lines < 1:
-                far.no_agent_until = max(far.no_agent_until, self.now + NO_AGENT_HOLDS)
-            elif not turn or report.free_lines >= self._senders * AGENTS_LAST / turn:
+                far.no_agent_until = max(far.no_agent_until, self.now + int(self._no_agent_holds))
+            elif not turn or report.free_lines >= self._senders * AGENTS_LAST * self._length / turn:
                 # One line free, told to hundreds of edge proxies, brings that server hundreds of vain legs.
                 far.no_agent_until = 0
         if report.lines and report.free_lines is not None:
@@ -328,7 +330,9 @@
             return []
         if result.outcome is Outcome.NO_AGENT:
             # Said of the lines, not of the processor: it is neither slow nor ailing.
-            far.no_agent_until = self.now + int(max(NO_AGENT_HOLDS, NO_AGENT_HOLDS_TURNS * self._turn(far)))
+            far.no_agent_until = self.now + int(
+                max(self._no_agent_holds, NO_AGENT_HOLDS_TURNS * self._turn(far))
+            )
             return []
         answered = (Outcome.STANDS, Outcome.ENDED, Outcome.LINE_BUSY, Outcome.FAULT)
         if result.outcome in answered:
@@ -504,7 +508,7 @@
             for number, (busy, _) in self._carried.items()
             if number not in taking and (kind.server_numbers is None or number in kind.server_numbers)
         )
-        return self._draw() * passed_by * ROOM_SPAN < sum(self._room(far) for far in others) * self._length
+        return self._draw() * passed_by * ROOM_SHARE < sum(self._room(far) for far in others)
 
     def _room(self, far: Far) -> float:
         # News of busy lines reaches every edge proxy, a jam only those who had a leg there. What waits at the
--- a/valverouter/relayedge/links.py
+++ b/valverouter/relayedge/links.py
@@ -90,6 +90,8 @@
         self._connecting = 0
         # What stands here, by id; leaves with its end. Follows `legs`.
         self._standing: dict[str, tuple[str, int]] = {}
+        # Since when, by the system's clock; follows `_standing`.
+        self._since: dict[str, int] = {}
         # Releases that found no connection; emptied by the next one, and with the link.
         self._owed: dict[str, int] = {}
         self._refusals = 0
@@ -110,7 +112,29 @@
     def stands(self, key: tuple[str, int]) -> None:
         """A dialog that its caller says stands here."""
         self.legs[key] = False
+        self._stands(key)
+
+    def _stands(self, key: tuple[str, int]) -> None:
         self._standing[key[0]] = key
+        self._since[key[0]] = self._surroundings.wall()
+
+    def _stood(self, dialog_id: str) -> tuple[str, int] | None:
+        self._since.pop(dialog_id, None)
+        return self._standing.pop(dialog_id, None)
+
+    def restarted(self, born: int) -> None:
+        """The list tells of another start: what stood before it is cut. What stands since is the new
+        process's, which took set-ups before the list told of it."""
+        cut = [self._standing[id_] for id_, since in self._since.items() if since < born]
+        if cut:
+            self._cut(frozenset(cut), "another start")
+
+    def _cut(self, cut: frozenset[tuple[str, int]], why: str) -> None:
+        for key in cut:
+            self._stood(key[0])
+            self.legs.pop(key, None)
+        log.info("server-lost", server=self.server, standing=len(cut), why=why)
+        self._inbox.put(LinkDown(self, why, cut, frozenset()))
 
     def set_up(self, key: tuple[str, int], message: Any) -> None:
         self.legs[key] = False
@@ -135,7 +159,7 @@
         """A Cancel of an open leg or a Release of what stands; nothing follows from the server."""
         leg = message.dialog, message.leg
         self.legs.pop(leg, None)
-        self._standing.pop(message.dialog, None)
+        self._stood(message.dialog)
         line = next((line for line in self._lines if line.open.get(message.dialog) == leg), None)
         if line is not None:
             del line.open[message.dialog]
@@ -180,6 +204,7 @@
         unsent = frozenset(self._early)
         self._early.clear()
         self._standing.clear()
+        self._since.clear()
         self._owed.clear()
         self._lines.clear()
         self.ended = True
@@ -263,18 +288,16 @@
         unsent = frozenset(self._early) if not self._connecting else frozenset()
         gone = self._refusals >= 2 * CONNECTIONS
         gone = gone or trio.current_time() - self._reached_at > platform.CUT_AFTER / 1e9
-        cut = frozenset(self._standing.values()) if gone else frozenset()
+        why = f"no connection: {error or type(error).__name__}"
         if unsent:
             self._early.clear()
-        if cut:
-            self._standing.clear()
-            for dialog_id, _ in cut:
-                self._owed[dialog_id] = words.ENDED
-            log.info("server-lost", server=self.server, standing=len(cut), refused=self._refusals)
-        for key in unsent | cut:
-            self.legs.pop(key, None)
-        if unsent or cut:
-            self._inbox.put(LinkDown(self, f"no connection: {error or type(error).__name__}", cut, unsent))
+            for key in unsent:
+                self.legs.pop(key, None)
+            self._inbox.put(LinkDown(self, why, frozenset(), unsent))
+        if gone and self._standing:
+            # Should it only have been out of reach, it hears that nobody is left at this side.
+            self._owed |= dict.fromkeys(self._standing, words.ENDED)
+            self._cut(frozenset(self._standing.values()), f"{why}, {self._refusals} refused")
 
     async def _write_line(self, line: _Line, stream: trio.abc.Stream) -> None:
         try:
@@ -311,7 +334,7 @@
             # A second copy, or one of a leg that is none: more than belongs here.
             if key is not None and message.sdp is not None:
                 del line.open[id_]
-                self._standing[id_] = key
+                self._stands(key)
                 load = words.load(message)
                 said = words.Answered(*key, report=load, description=message.sdp)
                 self._inbox.put(FromServer(self, said))
@@ -329,7 +352,7 @@
             else:
                 self.legs.pop(key, None)
                 self._inbox.put(LinkDown(self, f"cause {message.cause}", frozenset((key,)), frozenset()))
-        elif (key := self._standing.pop(id_, None)) is not None:
+        elif (key := self._stood(id_)) is not None:
             reason = "over" if message.cause == words.ENDED else "cut"
             self._inbox.put(FromServer(self, setup.Ended(*key, reason, words.load(message))))
         else:
--- a/valverouter/relayedge/proxy.py
+++ b/valverouter/relayedge/proxy.py
@@ -173,10 +173,9 @@
         for row in heard.rows:
             before = self._born.get(row.server)
             link = self._links.get(row.server)
-            if link is not None and before is not None and before != row.incarnation:
+            if isinstance(link, RelayLink) and before is not None and before < row.incarnation:
                 # Another process under that name: it knows nothing of what stood at the one before.
-                link.give_up("another start")
-                del self._links[row.server]
+                link.restarted(row.incarnation * 10**6)
             if row.phase == "gone":
                 self._born.pop(row.server, None)
             else:
