The platform's books in virtual time; a server that connects and stays silent has cut its dialogs

Stand-ins of the platform's callers, core servers and event bus in memory, round the same EdgeProxy under a clock of the tests: who owns what stands, what a refused, a reset and a silent connection mean, other starts, drains, spoilt and surplus answers, ids used again, callers that say nothing of use, the bus silent and moved; the run command on loopback with SIGHUP and SIGTERM.

--- /dev/null
+++ b/tests/relayrig.py
@@ -0,0 +1,222 @@
+"""An edge proxy on the platform in memory: callers, core servers and the event bus do as the test says."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import h11
+import trio
+
+from valverouter.days.virtual import EPOCH, MemoryPlace, MemorySurroundings
+from valverouter.relayedge.proxy import RelayProxy
+from valverouter.relaywire import isup
+from valverouter.relaywire.lines import Line, LineReader
+from valverouter.terms.platform import Platform, platform
+
+DESCRIPTION = "9d41c07a5be2f318\r\nm=audio 31000 RTP/AVP 0 \u00e4\r\n"
+SETTINGS: dict[str, Any] = {
+    "categories": [
+        {"name": "voice", "objectiveUs": 1_500_000, "deadlineUs": 9_000_000},
+        {"name": "urgent", "objectiveUs": 800_000, "deadlineUs": 6_000_000, "importance": 6.0},
+    ],
+    "nInstances": 1,
+    "discovery": "pushed",
+    "extra": {"classCells": [[0, 1], [0, 1]], "callLengthUs": [10**7, 10**7], "releaseGuardUs": 300_000},
+    "limits": {"sendCap": 6, "mayCancel": True, "retryAfter": True, "maxRetryAfterUs": 2_000_000},
+    "rules": {"startCapacity": 0.35, "tipMultiple": 2.5, "fallUs": 10**6, "warmWithinUs": 15 * 10**6},
+}
+# Wall time of the rig at its start, in the milliseconds of the event bus.
+WALL_MS = EPOCH // 10**6
+
+
+def host(name: str, number: int, health: str = "Ready", born_ms: int = 0) -> dict[str, Any]:
+    return {"host": name, "dial": f"{name}:1", "block": number, "health": health, "born_ms": born_ms}
+
+
+def event(number: int, hosts: list[dict[str, Any]], whole: bool = False) -> dict[str, Any]:
+    return {"offset": number, "topology": {"seq": number, "whole": whole, "hosts": hosts}}
+
+
+def configuration(known: list[dict[str, Any]], listen: str = "edge:1", bus: str = "bus:1") -> dict[str, Any]:
+    return {
+        "name": "n0",
+        "listen": listen,
+        "seed": "8c1f30d27a5be964",
+        "bus": bus,
+        "known": {"offset": len(known), "batch": known},
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 64},
+        "settings": SETTINGS,
+    }
+
+
+class Client:
+    """One caller's connection; `heard` keeps its messages with their moments."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self.stream = stream
+        self.heard: list[tuple[float, isup.Message]] = []
+        self.ended: float | None = None
+
+    async def read(self) -> None:
+        reader = isup.MessageReader()
+        try:
+            while data := await self.stream.receive_some():
+                self.heard += [(trio.current_time(), message) for message in reader.feed(data)]
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        self.ended = trio.current_time()
+
+    async def ask(self, id_: str, figures: str = "dest:0;width:1;via:-1", left: int = 5_000) -> None:
+        told = {
+            isup.CLASS: b"voice",
+            isup.LEFT: b"%d" % left,
+            isup.CALLED: b"7f3a9c21e0b4d655",
+            isup.FIGURES: figures.encode(),
+            isup.DESCRIPTION: DESCRIPTION.encode(),
+        }
+        await self.stream.send_all(isup.write(isup.IAM, id_, told))
+
+    async def release(self, id_: str) -> None:
+        await self.stream.send_all(isup.release(id_, 16))
+
+    @property
+    def said(self) -> list[tuple[int, str, int]]:
+        return [(message.type, message.id, message.cause) for _, message in self.heard]
+
+
+class Server:
+    """A core server: keeps what it hears, answers where `answers`, else says what the test says."""
+
+    def __init__(self, rig: Rig, name: str) -> None:
+        self.rig = rig
+        self.name = name
+        self.answers = True
+        self.streams: list[trio.abc.Stream] = []
+        self.heard: list[Line] = []
+        # The connection that each set-up came on.
+        self.at: dict[str, trio.abc.Stream] = {}
+        self.scope = trio.CancelScope()
+
+    async def run(self, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
+        with trio.CancelScope() as self.scope:
+            await self.rig.network.serve(f"{self.name}:1", self._serve, task_status)
+
+    async def _serve(self, stream: trio.abc.Stream) -> None:
+        self.streams.append(stream)
+        reader = LineReader()
+        try:
+            while data := await stream.receive_some():
+                for line in reader.feed(data):
+                    if line.type == "ping":
+                        await self.say(stream, {"type": "pong", "id": line.id, "fields": {}, "cause": 1})
+                        continue
+                    self.heard.append(line)
+                    if line.type == "setup":
+                        self.at[line.id] = stream
+                    if line.type == "setup" and self.answers:
+                        await self.say(stream, answer(line.id))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            if stream in self.streams:
+                self.streams.remove(stream)
+            with trio.CancelScope(shield=True):
+                await stream.aclose()
+
+    async def say(self, stream: trio.abc.Stream, *messages: dict[str, Any]) -> None:
+        await stream.send_all(b"".join(json.dumps(one).encode() + b"\n" for one in messages))
+
+    async def reset(self) -> None:
+        for stream in list(self.streams):
+            await stream.aclose()
+
+    def of(self, kind: str) -> list[str]:
+        return [line.id for line in self.heard if line.type == kind]
+
+
+def answer(id_: str) -> dict[str, Any]:
+    return {"type": "answer", "id": id_, "fields": {"load": "x0:90;x1:100"}, "sdp": DESCRIPTION + id_}
+
+
+def release(id_: str, cause: int, **fields: str) -> dict[str, Any]:
+    return {"type": "release", "id": id_, "fields": fields, "cause": cause}
+
+
+class Bus:
+    """The event bus. `silent`: takes polls and says nothing more; `asked` keeps the numbers asked from."""
+
+    def __init__(self) -> None:
+        self.events: list[dict[str, Any]] = []
+        self.asked: list[tuple[float, int]] = []
+        self.silent = False
+        self._news = trio.Event()
+
+    def tell(self, *hosts: dict[str, Any]) -> None:
+        self.events.append(event(len(self.events) + 1, list(hosts)))
+        self._news.set()
+        self._news = trio.Event()
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        connection = h11.Connection(h11.SERVER)
+        try:
+            while data := await stream.receive_some():
+                connection.receive_data(bytes(data))
+                request = connection.next_event()
+                assert isinstance(request, h11.Request)
+                query = dict(pair.split("=") for pair in request.target.decode().partition("?")[2].split("&"))
+                after = int(query["from"])
+                self.asked.append((trio.current_time(), after))
+                connection.next_event()
+                if self.silent:
+                    await trio.sleep_forever()
+                if len(self.events) <= after:
+                    with trio.move_on_after(int(query["hold"]) / 1e3):
+                        await self._news.wait()
+                body = json.dumps({"offset": len(self.events), "batch": self.events[after:]}).encode()
+                head = h11.Response(status_code=200, headers=[("Content-Length", str(len(body)))])
+                sent = [connection.send(one) for one in (head, h11.Data(data=body), h11.EndOfMessage())]
+                await stream.send_all(b"".join(one or b"" for one in sent))
+                connection.start_next_cycle()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+
+
+class Rig:
+    def __init__(self, nursery: trio.Nursery, names: list[str]) -> None:
+        self.nursery = nursery
+        self.network = MemoryPlace()
+        self.bus = Bus()
+        self.servers = {name: Server(self, name) for name in names}
+        self.bus.events.append(event(1, [host(name, at) for at, name in enumerate(names)], whole=True))
+        self.told = configuration(list(self.bus.events))
+        self.edge = RelayProxy(self.platform(), MemorySurroundings(self.network))
+
+    def platform(self) -> Platform:
+        return platform(json.dumps(self.told).encode())
+
+    async def client(self) -> Client:
+        client = Client(await self.network.connect("edge:1"))
+        self.nursery.start_soon(client.read)
+        return client
+
+    async def until(self, there: Any, within: float = 20.0) -> None:
+        """Looks every millisecond of the rig's clock; fails when it does not come true in time."""
+        with trio.fail_after(within):
+            while not there():
+                await trio.sleep(0.001)
+
+
+@asynccontextmanager
+async def relayed(*names: str) -> AsyncIterator[Rig]:
+    async with trio.open_nursery() as nursery:
+        rig = Rig(nursery, list(names) or ["s0", "s1"])
+        await nursery.start(rig.network.serve, "bus:1", rig.bus.serve)
+        for server in rig.servers.values():
+            await nursery.start(server.run)
+        await nursery.start(rig.edge.run)
+        await trio.sleep(0.1)
+        yield rig
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_relayedge.py
@@ -0,0 +1,379 @@
+"""The edge proxy behind the platform's protocol: who owns what stands, what a break means."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from contextlib import suppress
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from tests.relayrig import DESCRIPTION, WALL_MS, answer, configuration, host, relayed, release
+from valverouter.relaywire import isup
+from valverouter.terms.options import MalformedInputError
+from valverouter.terms.platform import platform
+
+A, B = "a" * 16, "b" * 16
+ANSWERED, OVER, CUT = (isup.ANM, A, -1), (isup.REL, A, 16), (isup.REL, A, 41)
+
+
+async def test_a_dialog_there_and_back(autojump_clock: MockClock) -> None:
+    async with relayed() as rig:
+        client, server = await rig.client(), rig.servers["s0"]
+        await client.ask(A)
+        await rig.until(lambda: client.said == [ANSWERED])
+        asked = server.heard[0]
+        assert (asked.sdp, asked.fields["class"], asked.fields["key"]) == (
+            DESCRIPTION,
+            "voice",
+            "7f3a9c21e0b4d655",
+        )
+        assert 4_900 <= int(asked.fields["left"]) <= 5_000
+        assert client.heard[0][1].parameters[isup.DESCRIPTION] == (DESCRIPTION + A).encode()
+        await server.say(server.streams[0], release(A, 16), release(A, 16))
+        await rig.until(lambda: client.said == [ANSWERED, OVER])
+        await trio.sleep(10)
+        assert client.said == [ANSWERED, OVER] and not rig.edge._dialogs and client.ended is None
+
+
+@pytest.mark.parametrize("others", [True, False])
+async def test_what_stands_outlives_its_caller_s_connection(autojump_clock: MockClock, others: bool) -> None:
+    async with relayed() as rig:
+        client, server = await rig.client(), rig.servers["s0"]
+        await client.ask(A)
+        await rig.until(lambda: client.said == [ANSWERED])
+        other = await rig.client() if others else None
+        await client.stream.aclose()
+        await trio.sleep(0.5)
+        await server.say(server.streams[0], release(A, 16))
+        if other is None:
+            await trio.sleep(1)
+            other = await rig.client()
+        ended = other
+        await rig.until(lambda: ended.said == [OVER], 1)
+        assert not server.of("release")
+
+
+async def test_a_caller_ends_what_stands_from_any_connection(autojump_clock: MockClock) -> None:
+    async with relayed() as rig:
+        client, server = await rig.client(), rig.servers["s0"]
+        await client.ask(A)
+        await rig.until(lambda: client.said == [ANSWERED])
+        other = await rig.client()
+        await other.release(A)
+        await rig.until(lambda: server.of("release") == [A], 1)
+        assert client.said == [ANSWERED] and not rig.edge._dialogs
+
+
+async def test_what_stands_outlives_a_reset_and_ends_on_the_next_connection(
+    autojump_clock: MockClock,
+) -> None:
+    async with relayed() as rig:
+        client, server = await rig.client(), rig.servers["s0"]
+        await client.ask(A)
+        await rig.until(lambda: client.said == [ANSWERED])
+        await server.reset()
+        await rig.until(lambda: len(server.streams) == 2)
+        await trio.sleep(6)
+        assert client.said == [ANSWERED]
+        await server.say(server.streams[1], release(A, 16))
+        await rig.until(lambda: client.said == [ANSWERED, OVER], 1)
+
+
+async def test_a_server_that_refuses_connections_has_cut_its_dialogs(autojump_clock: MockClock) -> None:
+    async with relayed() as rig:
+        client, server = await rig.client(), rig.servers["s0"]
+        await client.ask(A)
+        await rig.until(lambda: client.said == [ANSWERED])
+        server.scope.cancel()
+        await rig.until(lambda: client.said == [ANSWERED, CUT], 8)
+
+
+async def test_a_silent_server_has_cut_its_dialogs_in_time(autojump_clock: MockClock) -> None:
+    async with relayed() as rig:
+        client, server = await rig.client(), rig.servers["s0"]
+        await client.ask(A)
+        await rig.until(lambda: client.said == [ANSWERED])
+        rig.network.serving["s0:1"] = lambda stream: None
+        server.say = lambda *_: trio.lowlevel.checkpoint()  # type: ignore[method-assign]
+        gone = trio.current_time()
+        await rig.until(lambda: client.said == [ANSWERED, CUT], 20)
+        assert trio.current_time() - gone <= 8
+
+
+async def test_another_start_cuts_only_what_stood_before_it(autojump_clock: MockClock) -> None:
+    # The new process takes calls before the list tells of it; 24 of them were once cut by our own word.
+    async with relayed("s0") as rig:
+        client = await rig.client()
+        await client.ask(A)
+        await rig.until(lambda: len(client.said) == 1)
+        await trio.sleep(2)
+        born = WALL_MS + round(trio.current_time() * 1_000)
+        await trio.sleep(2)
+        await client.ask(B)
+        await rig.until(lambda: len(client.said) == 2)
+        rig.bus.tell(host("s0", 0, born_ms=born))
+        await rig.until(lambda: len(client.said) == 3, 2)
+        await trio.sleep(3)
+        assert client.said == [ANSWERED, (isup.ANM, B, -1), CUT]
+
+
+@pytest.mark.parametrize("health", ["Terminating", "Gone"])
+async def test_a_draining_server_gets_nothing_new_and_keeps_what_stands(
+    autojump_clock: MockClock, health: str
+) -> None:
+    async with relayed() as rig:
+        client, (s0, s1) = await rig.client(), rig.servers.values()
+        await client.ask(A)
+        await rig.until(lambda: client.said == [ANSWERED])
+        rig.bus.tell(host("s0", 0, health))
+        await trio.sleep(0.5)
+        await client.ask(B)
+        await rig.until(lambda: (isup.ANM, B, -1) in client.said)
+        assert s0.of("setup") == [A] and s1.of("setup") == [B]
+        assert (CUT in client.said) is (health == "Gone")
+        assert bool(s0.streams) is (health != "Gone")
+
+
+async def test_a_set_up_that_is_given_up_is_owed_nothing(autojump_clock: MockClock) -> None:
+    async with relayed() as rig:
+        client, server = await rig.client(), rig.servers["s0"]
+        server.answers = False
+        await client.ask(A)
+        await rig.until(lambda: server.of("setup") == [A])
+        await client.release(A)
+        await rig.until(lambda: server.of("release") == [A], 1)
+        await server.say(server.at[A], answer(A))
+        await trio.sleep(10)
+        assert (
+            not client.said
+            and not rig.edge._dialogs
+            and not any(link.legs for link in rig.edge._links.values())
+        )
+
+
+async def test_a_dialog_with_no_answer_is_given_up_in_its_time(autojump_clock: MockClock) -> None:
+    async with relayed("s0") as rig:
+        client, server = await rig.client(), rig.servers["s0"]
+        server.answers = False
+        began = trio.current_time()
+        await client.ask(A, left=1_000)
+        await rig.until(lambda: bool(client.said))
+        assert client.said == [CUT] and 0.9 < client.heard[0][0] - began <= 1.0
+        assert server.of("release") == [A]
+
+
+@pytest.mark.parametrize(
+    "spoilt", [b"\xff\xfe\x00\n", b'{"type":"answer","id":"' + b"9" * 20_000, b"[1]\n", b""]
+)
+async def test_a_spoilt_answer_is_a_leg_that_ran(autojump_clock: MockClock, spoilt: bytes) -> None:
+    async with relayed() as rig:
+        client, (s0, s1) = await rig.client(), rig.servers.values()
+        s0.answers = False
+        await client.ask(A)
+        await rig.until(lambda: s0.of("setup") == [A])
+        broke = trio.current_time()
+        stream = s0.at[A]
+        await (stream.send_all(spoilt) if spoilt else stream.aclose())
+        await rig.until(lambda: ANSWERED in client.said)
+        # The release time holds, and should the spoilt answer have been a good one, nothing stands unowned.
+        assert trio.current_time() - broke >= 0.3 and s1.of("setup") == [A] and s0.of("release") == [A]
+
+
+async def test_more_than_belongs_to_an_answer_is_ignored(autojump_clock: MockClock) -> None:
+    async with relayed() as rig:
+        client, server = await rig.client(), rig.servers["s0"]
+        server.answers = False
+        await client.ask(A)
+        await rig.until(lambda: server.of("setup") == [A])
+        lines = len(server.streams)
+        await server.say(server.at[A], answer(B), answer(A), answer(A), {"type": "news", "id": A})
+        await trio.sleep(3)
+        assert client.said == [ANSWERED] and len(server.streams) == lines
+
+
+async def test_an_id_that_is_open_elsewhere_leaves_the_first_alone(autojump_clock: MockClock) -> None:
+    async with relayed() as rig:
+        client, server = await rig.client(), rig.servers["s0"]
+        server.answers = False
+        await client.ask(A)
+        await rig.until(lambda: server.of("setup") == [A])
+        bad = await rig.client()
+        await bad.release(A)
+        await bad.ask(A)
+        await rig.until(lambda: bad.ended is not None, 3)
+        await server.say(server.at[A], answer(A))
+        await rig.until(lambda: client.said == [ANSWERED], 1)
+        assert server.of("setup") == [A] and not bad.said
+
+
+async def test_an_id_that_had_its_answer_is_no_new_dialog(autojump_clock: MockClock) -> None:
+    # One caller sent the same set-up four hundred times, again after each refusal; each was a dialog.
+    async with relayed() as rig:
+        server = rig.servers["s0"]
+        server.answers = False
+        for _ in range(3):
+            bad = await rig.client()
+            with suppress(trio.BrokenResourceError):
+                for _ in range(50):
+                    await bad.ask(A, left=200)
+            await rig.until(lambda: bad.ended is not None, 3)  # noqa: B023
+        assert server.of("setup") == [A]
+
+
+async def test_what_is_taken_back_at_once_shuts_no_server_out(autojump_clock: MockClock) -> None:
+    async with relayed("s0") as rig:
+        bad, server = await rig.client(), rig.servers["s0"]
+        told = {129: b"voice", 131: b"900", 137: b"0" * 16, 139: b"dest:0", 159: b"v=0"}
+        for at in range(1, 30):
+            id_ = f"{at:016x}"
+            await bad.stream.send_all(isup.write(isup.IAM, id_, told) + isup.release(id_, 16))
+        await trio.sleep(0.05)
+        client = await rig.client()
+        await client.ask(A)
+        await rig.until(lambda: client.said == [ANSWERED], 1)
+        assert set(server.of("setup")) == {A} and not rig.edge._driver.control._fars["s0"].failures
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"",
+        b"\x00",
+        isup.write(isup.IAM, A)[:7],
+        isup.release(A, 16),
+        isup.write(isup.IAM, A, {129: b"nothing"}),
+        b"\xff\xff" + b"x" * 900,
+        b"GET / HTTP/1.1\r\n\r\n",
+    ],
+)
+async def test_who_says_nothing_of_use_is_refused_or_closed_in_three_seconds(
+    autojump_clock: MockClock, sent: bytes
+) -> None:
+    async with relayed() as rig:
+        client, good = await rig.client(), await rig.client()
+        await good.ask(A)
+        if sent:
+            await client.stream.send_all(sent)
+        await rig.until(lambda: client.ended is not None or bool(client.said), 3)
+        await trio.sleep(60)
+        assert good.ended is None and client.ended is not None
+
+
+async def test_tests_pass_until_it_stops(autojump_clock: MockClock) -> None:
+    async with relayed() as rig:
+        client = await rig.client()
+        await client.stream.send_all(isup.write(isup.TEST, A, {isup.CAUSE: b"\0"}))
+        await rig.until(lambda: client.said == [(isup.TESTED, A, 1)], 1)
+
+
+async def test_a_dialog_that_stood_before_our_start(autojump_clock: MockClock) -> None:
+    async with relayed() as rig:
+        client, server = await rig.client(), rig.servers["s0"]
+        await client.ask(A, "dest:0;width:1;at:s0")
+        await client.ask(A, "dest:0;width:1;at:s0")
+        await trio.sleep(0.5)
+        assert not client.said and not server.of("setup")
+        await server.say(server.streams[0], release(A, 16))
+        await rig.until(lambda: client.said == [OVER], 1)
+
+
+@pytest.mark.parametrize(("at", "early", "said"), [("s0", True, OVER), ("s9", False, CUT)])
+async def test_a_dialog_that_ended_before_its_caller_told_of_it(
+    autojump_clock: MockClock, at: str, early: bool, said: Any
+) -> None:
+    async with relayed() as rig:
+        client, server = await rig.client(), rig.servers["s0"]
+        if early:
+            await server.say(server.streams[0], release(A, 16))
+            await trio.sleep(1)
+        await client.ask(A, f"dest:0;width:1;at:{at}")
+        await rig.until(lambda: client.said == [said], 1)
+
+
+async def test_a_silent_bus_is_asked_again_and_a_new_one_goes_on_with_the_numbers(
+    autojump_clock: MockClock,
+) -> None:
+    async with relayed() as rig:
+        rig.bus.tell(host("s1", 1, "Terminating"))
+        await trio.sleep(0.5)
+        rig.bus.silent = True
+        await trio.sleep(10)
+        asked = rig.bus.asked
+        assert max(b[0] - a[0] for a, b in pairwise(asked)) <= 3 and asked[-1][1] == 2
+        rig.bus.silent = False
+        await rig.nursery.start(rig.network.serve, "bus:2", rig.bus.serve)
+        before = len(asked)
+        rig.told["bus"] = "bus:2"
+        rig.edge.reconfigure(rig.platform())
+        rig.bus.tell(host("s1", 1, "Gone"))
+        await rig.until(lambda: "s1" not in rig.edge._links, 2)
+        assert [number for _, number in asked[before:]][:1] == [2]
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"seed": "x"}, "seed"),
+        ({"listen": "here"}, "listen"),
+        ({"bus": 4}, "bus"),
+        ({"settings": None}, "settings"),
+        ({"settings": {"categories": []}}, "nInstances"),
+        ({"name": None}, "name"),
+    ],
+)
+def test_a_configuration_that_can_not_be_used_names_the_field(change: dict[str, Any], named: str) -> None:
+    told = {key: value for key, value in (configuration([]) | change).items() if value is not None}
+    with pytest.raises(MalformedInputError, match=named):
+        platform(json.dumps(told).encode())
+
+
+def test_the_run_command_on_loopback(tmp_path: Path) -> None:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        listen = f"127.0.0.1:{free.getsockname()[1]}"
+    path = tmp_path / "config.json"
+    environment = os.environ | {"RELAY_CONFIG": str(path)}
+    command = [sys.executable, "-m", "valverouter.relayedge"]
+    missing = subprocess.run(
+        command, env=environment, capture_output=True, text=True, timeout=30, check=False
+    )
+    assert missing.returncode == 2 and len(missing.stderr.splitlines()) == 1
+    path.write_text(json.dumps(configuration([], listen, "127.0.0.1:1")))
+    with subprocess.Popen(command, env=environment, stderr=subprocess.PIPE, text=True) as process:
+        assert process.stderr is not None
+        try:
+            while "listening" not in process.stderr.readline():
+                assert process.poll() is None
+            path.write_text("{")
+            process.send_signal(signal.SIGHUP)
+            path.write_text(json.dumps(configuration([], listen, "127.0.0.1:2")))
+            while "reconfigured" not in process.stderr.readline():
+                assert process.poll() is None
+            host_, port = listen.split(":")
+            with socket.create_connection((host_, int(port)), timeout=10) as caller:
+                caller.sendall(isup.write(isup.TEST, A, {isup.CAUSE: b"\0"}))
+                assert caller.recv(100) == isup.write(isup.TESTED, A, {isup.CAUSE: b"\1"})
+                process.send_signal(signal.SIGTERM)
+                # Requests go on coming for a while: with no server this one is refused, not lost.
+                caller.sendall(
+                    isup.write(
+                        isup.IAM, B, {129: b"voice", 131: b"900", 137: b"0" * 16, 139: b"dest:0", 159: b"v=0"}
+                    )
+                )
+                (said,) = isup.MessageReader().feed(caller.recv(100))
+                assert (said.type, said.id, said.cause) == (isup.REL, B, 42)
+                assert int(said.parameters[isup.COME_BACK]) > 0
+            assert process.wait(20) == 0
+        finally:
+            if process.poll() is None:
+                process.kill()
--- a/valverouter/relayedge/links.py
+++ b/valverouter/relayedge/links.py
@@ -277,6 +277,7 @@
             log.info("line-down", server=self.server, why=why, legs=len(line.open))
         if line.open:
             self._inbox.put(LinkDown(self, why, sent, unsent))
+        self._lost(why)
 
     def _unreached(self, error: BaseException) -> None:
         """No connection: nothing that waited for it ran. Refused twice with none left, or out of reach for
@@ -286,15 +287,19 @@
         if isinstance(error, ConnectionRefusedError) or _all_refused(error):
             self._refusals += 1
         unsent = frozenset(self._early) if not self._connecting else frozenset()
-        gone = self._refusals >= 2 * CONNECTIONS
-        gone = gone or trio.current_time() - self._reached_at > platform.CUT_AFTER / 1e9
         why = f"no connection: {error or type(error).__name__}"
         if unsent:
             self._early.clear()
             for key in unsent:
                 self.legs.pop(key, None)
             self._inbox.put(LinkDown(self, why, frozenset(), unsent))
-        if gone and self._standing:
+        self._lost(why)
+
+    def _lost(self, why: str) -> None:
+        """With no connection left: whether what stood there is cut by now."""
+        gone = self._refusals >= 2 * CONNECTIONS
+        gone = gone or trio.current_time() - self._reached_at > platform.CUT_AFTER / 1e9
+        if gone and self._standing and not self._lines:
             # Should it only have been out of reach, it hears that nobody is left at this side.
             self._owed |= dict.fromkeys(self._standing, words.ENDED)
             self._cut(frozenset(self._standing.values()), f"{why}, {self._refusals} refused")
