Room is made by no connection whose set-up waits for its turn

At fault: relayedge/proxy.py _refuse() took for idle whoever had no dialog in the books, and a set-up that was read but has not had its turn is in none. Ruled out: give-ups, the refused connection itself (its first request is owed nothing), answers withheld (none). Callers count what waits; the test fails without it.

--- a/tests/test_relayedge.py
+++ b/tests/test_relayedge.py
@@ -269,6 +269,25 @@
         assert good.ended is None and client.ended is not None
 
 
+async def test_room_is_made_by_no_connection_whose_set_up_waits(autojump_clock: MockClock) -> None:
+    async with relayed() as rig:
+        idle, asking = await rig.client(), await rig.client()
+        for client, id_ in ((idle, A), (asking, B)):
+            await client.ask(id_)
+            await rig.until(lambda: bool(client.said))  # noqa: B023
+            await client.release(id_)
+        await idle.ask("c" * 16, left=300)
+        await idle.release("c" * 16)
+        await trio.sleep(0.1)
+        rig.nursery.start_soon(rig.edge._surroundings.hold, 10**8)  # type: ignore[attr-defined]
+        await asking.ask("d" * 16)
+        await trio.sleep(0.05)
+        for _ in range(3):  # its own turn has not come yet
+            await rig.edge._refuse(await rig.network.connect("s1:1"))
+        await rig.until(lambda: (isup.ANM, "d" * 16, -1) in asking.said, 2)
+        assert idle.ended is not None and asking.ended is None
+
+
 async def test_tests_pass_until_it_stops(autojump_clock: MockClock) -> None:
     async with relayed() as rig:
         client = await rig.client()
--- a/valverouter/relayedge/callers.py
+++ b/valverouter/relayedge/callers.py
@@ -84,6 +84,8 @@
         super().__init__(stream, terms, inbox, Welcome(0, "", 0), departures)
         self.useful = False
         self.heard_at = trio.current_time()
+        # Set-ups that were read and have not had their turn.
+        self.waiting = 0
         self._clock = clock
         self._deployment = deployment
         self._widths = widths
@@ -96,6 +98,12 @@
     def is_open(self) -> bool:
         return not self._scope.cancel_called
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether closing it loses nothing. A set-up that waits for its turn is in no book yet: under a crowd
+        two were lost with connections that were closed to make room."""
+        return self.is_open and not self.dialogs and not self.waiting and not self._reader.is_half
+
     def close(self) -> None:
         self._scope.cancel()
 
@@ -165,6 +173,7 @@
                 return
             if isinstance(asked, words.Asked):
                 self.useful = True
+                self.waiting += 1
                 self._inbox.put(FromCaller(self, asked, came_at))
             else:
                 self._inbox.put(ToldStanding(self, asked))
--- a/valverouter/relayedge/proxy.py
+++ b/valverouter/relayedge/proxy.py
@@ -99,7 +99,7 @@
         """No room: one that has said nothing of use makes way, then one that is idle; else this one goes."""
         self._refused += 1
         self._seldom.tell("no-room", f"{self._callers} connections")
-        idle = [caller for caller in self._connected if caller.is_open and not caller.dialogs]
+        idle = [caller for caller in self._connected if caller.is_idle]
         if idle:
             min(idle, key=lambda caller: (caller.useful, caller.heard_at)).close()
         await trio.aclose_forcefully(stream)
@@ -110,6 +110,11 @@
 
     # Dialogs that stand belong to no connection
 
+    def _take(self, caller: Caller, asked: setup.Setup) -> None:
+        assert isinstance(caller, RelayCaller)
+        caller.waiting -= 1
+        super()._take(caller, asked)
+
     def _caller_lost(self, event: CallerLost) -> None:
         for dialog_id in list(event.caller.dialogs):
             if not self._dialogs[dialog_id].stands:
