Who comes takes the place of an idle connection, and none with unread bytes is closed for it

Seen: connections at the limit throughout, the processor full (1.00 s in the worst second), so what came on an idle connection waited in the kernel for more than the 50 ms in which it is sent again.

--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -311,6 +311,10 @@
         """Whether an instance that is to stop may end."""
         return not self.open_dialogs
 
+    def _makes_room(self) -> bool:
+        """Whether another caller's connection was given up for the one that comes."""
+        return False
+
     async def _talk(self, stream: trio.abc.Stream) -> None:
         welcome = Welcome(0, self.terms.name, self.incarnation)
         await Caller(stream, self.terms.links, self._inbox, welcome, self._departures).run()
@@ -318,7 +322,7 @@
     async def _serve(self, stream: trio.abc.Stream) -> None:
         # Links come before callers: without one no caller is served, and one lost must be made again.
         room = self._surroundings.descriptors() - KEPT_DESCRIPTORS - 2 * len(self._links)
-        if self._callers >= min(self.terms.links.callers, room):
+        if self._callers >= min(self.terms.links.callers, room) and not self._makes_room():
             await self._refuse(stream)
             return
         self._callers += 1
--- a/valverouter/edge/surroundings.py
+++ b/valverouter/edge/surroundings.py
@@ -111,6 +111,14 @@
         except OSError:
             return 0  # full, or gone: `send_all` waits or tells
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes came that nobody has read."""
+        try:
+            return bool(self._socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
         await trio.lowlevel.checkpoint()
         rest = memoryview(data)
@@ -136,10 +144,13 @@
                 with suppress(BlockingIOError):
                     return self._socket.recv(max_bytes or READ)
 
-    async def aclose(self) -> None:
+    def close_now(self) -> None:
         if self._socket.fileno() >= 0:
             trio.lowlevel.notify_closing(self._socket)
             self._socket.close()
+
+    async def aclose(self) -> None:
+        self.close_now()
         await trio.lowlevel.checkpoint()
 
 
--- a/valverouter/relayedge/callers.py
+++ b/valverouter/relayedge/callers.py
@@ -100,11 +100,17 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether closing it loses nothing. A set-up that waits for its turn is in no book yet: under a crowd
-        two were lost with connections that were closed to make room."""
-        return self.is_open and not self.dialogs and not self.waiting and not self._reader.is_half
+        """Whether closing it loses nothing. A set-up that waits for its turn, or to be read, is in no book
+        yet: under a crowd some were lost with connections that were closed to make room."""
+        if not self.is_open or self.dialogs or self.waiting or self._reader.is_half:
+            return False
+        return not getattr(self._stream, "has_unread", False)
 
     def close(self) -> None:
+        # At once: a busy loop comes to its task some time later, and what arrives meanwhile would be lost.
+        close_now = getattr(self._stream, "close_now", None)
+        if close_now is not None:
+            close_now()
         self._scope.cancel()
 
     def send(self, message: Any) -> None:
--- a/valverouter/relayedge/proxy.py
+++ b/valverouter/relayedge/proxy.py
@@ -95,13 +95,19 @@
         finally:
             del self._connected[caller]
 
+    def _makes_room(self) -> bool:
+        """One that has said nothing of use makes way, then the one idle for longest. Who comes may be a good
+        caller that asks at once: closed in its stead, its set-up would be lost."""
+        self._seldom.tell("no-room", f"{self._callers} connections")
+        for caller in sorted(self._connected, key=lambda caller: (caller.useful, caller.heard_at)):
+            if caller.is_idle:
+                caller.close()
+                return True
+        return False
+
     async def _refuse(self, stream: trio.abc.Stream) -> None:
-        """No room: one that has said nothing of use makes way, then one that is idle; else this one goes."""
         self._refused += 1
-        self._seldom.tell("no-room", f"{self._callers} connections")
-        idle = [caller for caller in self._connected if caller.is_idle]
-        if idle:
-            min(idle, key=lambda caller: (caller.useful, caller.heard_at)).close()
+        self._makes_room()
         await trio.aclose_forcefully(stream)
 
     def _forget(self, taken: Taken) -> None:
