--- a/valverouter/relayedge/callers.py
+++ b/valverouter/relayedge/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from itertools import chain
 from typing import Any
 
 import structlog
@@ -61,6 +62,36 @@
         return id_ in self._ids
 
 
+class Connected:
+    """Callers' connections, least useful first: those that asked for nothing sound, then the rest, each in
+    the order in which they were last heard.
+
+    Kept in order as they speak: sorted for each newcomer, a full house cost more than the newcomer. Each leaves
+    when it closes.
+    """
+
+    def __init__(self) -> None:
+        self._fresh: dict[RelayCaller, None] = {}
+        self._useful: dict[RelayCaller, None] = {}
+
+    def heard(self, caller: RelayCaller) -> None:
+        self.drop(caller)
+        (self._useful if caller.useful else self._fresh)[caller] = None
+
+    def drop(self, caller: RelayCaller) -> None:
+        self._fresh.pop(caller, None)
+        self._useful.pop(caller, None)
+
+    def idle(self) -> RelayCaller | None:
+        """Whom closing loses nothing, the least useful first."""
+        return next((one for one in chain(self._fresh, self._useful) if one.is_idle), None)
+
+    def latest(self) -> RelayCaller | None:
+        """Who was heard last, of those that still are there."""
+        heard = chain(reversed(self._useful), reversed(self._fresh))
+        return next((one for one in heard if one.is_open), None)
+
+
 class RelayCaller(Caller):
     """One caller's connection on the platform. `dialogs` are the open ones; what stands belongs to nobody.
 
@@ -78,18 +109,19 @@
         deployment: Deployment,
         widths: Mapping[str, int],
         passes: Callable[[], bool],
+        connected: Connected,
         answered: AnsweredIds,
         seldom: Seldom,
     ) -> None:
         super().__init__(stream, terms, inbox, Welcome(0, "", 0), departures)
         self.useful = False
-        self.heard_at = trio.current_time()
         # Set-ups that were read and have not had their turn.
         self.waiting = 0
         self._clock = clock
         self._deployment = deployment
         self._widths = widths
         self._passes = passes
+        self._connected = connected
         self._answered = answered
         self._seldom = seldom
         self._reader = isup.MessageReader()
@@ -147,12 +179,12 @@
             while data := await stream.receive_some(READ):
                 # A dialog's time runs from its last byte, not from when its turn comes.
                 came_at = self._clock.now()
-                self.heard_at = trio.current_time()
                 await self._inbox.room()
                 for message in self._reader.feed(data):
                     if self._scope.cancel_called:
                         return
                     self._heard(message, came_at)
+                self._connected.heard(self)
                 was_half, half = half, self._reader.is_half
                 if half and not was_half and self.useful:
                     patience.deadline = trio.current_time() + limit
--- a/valverouter/relayedge/proxy.py
+++ b/valverouter/relayedge/proxy.py
@@ -13,7 +13,7 @@
 from valverouter.edge.proxy import EdgeProxy, Taken
 from valverouter.edge.surroundings import Surroundings
 from valverouter.relayedge.buslink import BusLink
-from valverouter.relayedge.callers import AnsweredIds, RelayCaller, Seldom, ToldStanding
+from valverouter.relayedge.callers import AnsweredIds, Connected, RelayCaller, Seldom, ToldStanding
 from valverouter.relayedge.links import RelayLink, UnknownEnds
 from valverouter.signalling import setup
 from valverouter.terms.platform import Platform
@@ -32,8 +32,7 @@
         self._ends = UnknownEnds()
         self._answered_ids = AnsweredIds()
         self._seldom = Seldom()
-        # Callers' connections, the one heard last at the end; each leaves when it closes.
-        self._connected: dict[RelayCaller, None] = {}
+        self._connected = Connected()
         # Ends that no connection was there for; emptied by the next connection, and by time.
         self._untold: list[tuple[float, setup.Ended]] = []
         self._born: dict[str, int] = {}
@@ -80,10 +79,11 @@
             self.terms.deployment,
             self._platform.widths,
             lambda: not self._stopping,
+            self._connected,
             self._answered_ids,
             self._seldom,
         )
-        self._connected[caller] = None
+        self._connected.heard(caller)
         if self._untold:
             untold, self._untold = self._untold, []
             since = trio.current_time() - UNTOLD_S
@@ -93,17 +93,17 @@
         try:
             await caller.run()
         finally:
-            del self._connected[caller]
+            self._connected.drop(caller)
 
     def _makes_room(self) -> bool:
         """One that has said nothing of use makes way, then the one idle for longest. Who comes may be a good
         caller that asks at once: closed in its stead, its set-up would be lost."""
         self._seldom.tell("no-room", f"{self._callers} connections")
-        for caller in sorted(self._connected, key=lambda caller: (caller.useful, caller.heard_at)):
-            if caller.is_idle:
-                caller.close()
-                return True
-        return False
+        caller = self._connected.idle()
+        if caller is None:
+            return False
+        caller.close()
+        return True
 
     async def _refuse(self, stream: trio.abc.Stream) -> None:
         self._refused += 1
@@ -153,12 +153,11 @@
     def _tell_end(self, caller: Caller, ended: setup.Ended) -> None:
         assert isinstance(caller, RelayCaller)
         if not caller.is_open:
-            others = [other for other in self._connected if other.is_open]
-            others.sort(key=lambda other: (other.useful, other.heard_at))
-            if not others:
+            latest = self._connected.latest()
+            if latest is None:
                 self._untold.append((trio.current_time(), ended))
                 return
-            caller = others[-1]
+            caller = latest
         caller.send(ended)
 
     def _told_standing(self, told: ToldStanding) -> None:
--- a/valverouter/signalling/greeting.py
+++ b/valverouter/signalling/greeting.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from functools import cache
 from typing import Annotated, Any
 
 import msgspec
@@ -60,6 +61,18 @@
 Greeting = Hello | Welcome | Error | NotUnderstood
 
 
+@cache
+def _decoder(kinds: tuple[type[Struct], ...]) -> msgspec.msgpack.Decoder[Any]:
+    """Made once for each protocol: made for each connection, it was most of what a new one cost."""
+    union: Any = kinds[0]
+    for kind in kinds[1:]:
+        union = union | kind
+    return msgspec.msgpack.Decoder(union)
+
+
+_kinds = msgspec.msgpack.Decoder(_Kind)
+
+
 class Session:
     """One side of one connection: bytes in, messages out, and which of them may come now.
 
@@ -72,11 +85,8 @@
         every: tuple[type[Struct], ...] = (Hello, Welcome, Error, NotUnderstood, *kinds)
         self._own = frozenset(kinds)
         self._known = {kind.__struct_config__.tag for kind in every}
-        union: Any = every[0]
-        for kind in every[1:]:
-            union = union | kind
-        self._decoder = msgspec.msgpack.Decoder(union)
-        self._kind = msgspec.msgpack.Decoder(_Kind)
+        self._decoder = _decoder(every)
+        self._kind = _kinds
         self._frames = FrameReader(most)
         self.asking = hello is not None
         self._hello = hello
