--- a/valverouter/relayedge/callers.py
+++ b/valverouter/relayedge/callers.py
@@ -66,8 +66,8 @@
     """Callers' connections, least useful first: those that asked for nothing sound, then the rest, each in
     the order in which they were last heard.
 
-    Kept in order as they speak: sorted for each newcomer, a full house cost more than the newcomer. Each leaves
-    when it closes.
+    Kept in order as they speak: sorted for each newcomer, a full house cost more than the newcomer.
+    Each leaves when it closes.
     """
 
     def __init__(self) -> None:
