Read once more: starts are kept once, addresses checked by one rule, refusals without a table

RelayProxy kept each server's start beside Incarnations, which has it: asked there. The platform's configuration checked addresses beside terms/edge.py: that check serves both, and refuses blanks in them too. words.refusal() was a table of three lambdas, two the same; a cause that nothing used is gone.

--- a/valverouter/edge/listing.py
+++ b/valverouter/edge/listing.py
@@ -53,6 +53,11 @@
             known = self._known[server] = incarnation, 0 if age is None else max(1, now - age)
         return known[1]
 
+    def incarnation(self, server: str) -> int | None:
+        """The latest that was told of a listed server."""
+        known = self._known.get(server)
+        return known[0] if known else None
+
     def keep(self, servers: set[str]) -> None:
         self._known = {id_: known for id_, known in self._known.items() if id_ in servers}
         self._cached &= servers
--- a/valverouter/relayedge/proxy.py
+++ b/valverouter/relayedge/proxy.py
@@ -35,7 +35,6 @@
         self._connected = Connected()
         # Ends that no connection was there for; emptied by the next connection, and by time.
         self._untold: list[tuple[float, setup.Ended]] = []
-        self._born: dict[str, int] = {}
         super().__init__(platform.terms, surroundings)
         self._handlers[ToldStanding] = self._told_standing
         self._log.info("started", limits=msgspec.structs.asdict(platform.limits), seed=platform.terms.seed)
@@ -181,15 +180,11 @@
 
     def _listed(self, heard: ListHeard) -> None:
         for row in heard.rows:
-            before = self._born.get(row.server)
+            before = self._incarnations.incarnation(row.server)
             link = self._links.get(row.server)
             if isinstance(link, RelayLink) and before is not None and before < row.incarnation:
                 # Another process under that name: it knows nothing of what stood at the one before.
                 link.restarted(row.incarnation * 10**6)
-            if row.phase == "gone":
-                self._born.pop(row.server, None)
-            else:
-                self._born[row.server] = row.incarnation
         super()._listed(heard)
 
     def _unwant(self, server: str, gone: bool) -> None:
--- a/valverouter/relayedge/words.py
+++ b/valverouter/relayedge/words.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import msgspec
 
@@ -16,7 +16,7 @@
 MS = 10**6
 
 # Causes, after ITU-T Q.850. What is refused may harmlessly come again, what failed may not.
-ENDED, BUSY, NO_CIRCUIT, CUT, CONGESTED, EXPIRED = 16, 17, 34, 41, 42, 102
+ENDED, BUSY, NO_CIRCUIT, CUT, CONGESTED = 16, 17, 34, 41, 42
 FAULT, UNUSABLE = 47, 100
 PHASES: dict[str, PhaseWord] = {"Ready": "in-service", "Gone": "gone"}
 DESCRIPTION_MOST = 12 * 1024
@@ -129,24 +129,20 @@
     return lines.setup(message.dialog, message.traffic_type, message.key, left, message.description)
 
 
-_refusals: dict[int, Callable[[str, int, str, setup.Load | None], setup.OfLeg]] = {
-    NO_CIRCUIT: lambda id_, leg, note, load: (
-        setup.NoAgent(id_, leg, load) if note == "no_path" else setup.Full(id_, leg, 0, load)
-    ),
-    BUSY: lambda id_, leg, note, load: _fault(id_, leg, note, load),
-    FAULT: lambda id_, leg, note, load: _fault(id_, leg, note, load),
-}
-
-
-def _fault(id_: str, leg: int, note: str, load: setup.Load | None) -> setup.OfLeg:
-    return setup.LineBusy(id_, leg, load) if note == "line_taken" else setup.Fault(id_, leg, "", load)
-
-
 def refusal(line: lines.Line, leg: int) -> setup.OfLeg | None:
     """A server's release before its answer; None where the set-up broke on its way: a reset."""
-    made = _refusals.get(-1 if line.cause is None else line.cause)
-    note = line.fields.get("note", "")
-    return made(line.id, leg, str(note), load(line)) if made else None
+    note = line.fields.get("note")
+    if line.cause == NO_CIRCUIT:
+        told = load(line)
+        return setup.NoAgent(line.id, leg, told) if note == "no_path" else setup.Full(line.id, leg, 0, told)
+    if line.cause in (BUSY, FAULT):
+        told = load(line)
+        return (
+            setup.LineBusy(line.id, leg, told)
+            if note == "line_taken"
+            else setup.Fault(line.id, leg, "", told)
+        )
+    return None
 
 
 # What a report's figures are called, by the settings and on the sockets.
--- a/valverouter/terms/edge.py
+++ b/valverouter/terms/edge.py
@@ -142,7 +142,7 @@
         if edge.place >= fleet.edge_proxies:
             ini.flaw("edge", "place", f"{edge.place} must be less than edge_proxies, {fleet.edge_proxies}")
         for key in ("listen", "list_service"):
-            if not _address(getattr(edge, key)):
+            if not is_address(getattr(edge, key)):
                 ini.flaw("edge", key, f"{getattr(edge, key)!r} is no HOST:PORT")
     ini.done()
     assert edge and fleet and links and log
@@ -221,7 +221,7 @@
     raise FlawedTermsError(now.flaws)
 
 
-def _address(text: str) -> bool:
+def is_address(text: str) -> bool:
     host, colon, port = text.rpartition(":")
     sound = bool(host and colon) and not re.search(r"\s", host) and port.isascii() and port.isdigit()
     return sound and int(port) < 65_536
--- a/valverouter/terms/platform.py
+++ b/valverouter/terms/platform.py
@@ -8,7 +8,7 @@
 import msgspec
 from msgspec import Struct
 
-from valverouter.terms.edge import EdgeTerms, Links, Log
+from valverouter.terms.edge import EdgeTerms, Links, Log, is_address
 from valverouter.terms.options import US, MalformedInputError, Options, deployment
 
 MS, SECOND = 10**6, 10**9
@@ -71,8 +71,7 @@
     except ValueError:
         raise MalformedInputError(f"seed: {told.seed!r} is no hexadecimal number") from None
     for name, address in (("listen", told.listen), ("bus", told.bus)):
-        host, _, port = address.rpartition(":")
-        if not (host and port.isascii() and port.isdigit() and int(port) < 65_536):
+        if not is_address(address):
             raise MalformedInputError(f"{name}: {address!r} is no HOST:PORT")
     options = told.settings
     deployed = deployment(options)
