--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,243 @@
+"""A record of calls: read whole or refused with its lines, played again to the same moments and outcomes."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+import structlog
+from click.testing import CliRunner
+from hypothesis import given
+from hypothesis import strategies as st
+
+from valverouter.audit.rules import audit
+from valverouter.cli.__main__ import main
+from valverouter.days.emulated import run_emulated
+from valverouter.days.recorded import calls_of
+from valverouter.days.virtual import run_virtual
+from valverouter.experiments.plan import Run
+from valverouter.experiments.search import load_search
+from valverouter.signalling import tap
+from valverouter.signalling.tap import Passed, Row
+from valverouter.terms.calls import FLAWS_TOLD, Call, read_calls, write_calls
+from valverouter.terms.day import Day, day, load_day
+from valverouter.terms.ini import FlawedTermsError, IniFile
+
+SECOND = 10**9
+DAY = (Path(__file__).parent.parent / "deploy" / "days" / "bad-day.ini").read_text()
+DAY = DAY.replace("length = 30s", "length = 12s")
+REPLAY = DAY.replace("rate = 40\n", "record = calls.csv\n")
+
+
+@pytest.fixture(autouse=True)
+def quiet() -> Iterator[None]:
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    yield
+    structlog.reset_defaults()
+
+
+def replay(folder: Path, *changes: tuple[str, str]) -> Day:
+    text = REPLAY
+    for old, new in changes:
+        assert old in text
+        text = text.replace(old, new)
+    return day(IniFile(text, "replay.ini", folder), "replay")
+
+
+def flaws(folder: Path, *changes: tuple[str, str]) -> list[str]:
+    with pytest.raises(FlawedTermsError) as caught:
+        replay(folder, *changes)
+    return [str(flaw).replace(f"{folder}/", "") for flaw in caught.value.flaws]
+
+
+def first_tries(rows: list[Row]) -> list[tuple[int, str, str, int]]:
+    began = next(row.at for row in rows if isinstance(row, tap.Opened))
+    return [
+        (row.at - began, row.edge, row.word, row.span)
+        for row in rows
+        if isinstance(row, Passed) and row.sent and row.kind == "setup" and row.peer[0] == "c"
+        if "." not in row.dialog
+    ]
+
+
+# The file
+
+spans = st.integers(0, 10**17)
+numbers = st.none() | st.integers(0, 10**18)
+
+
+@given(
+    st.lists(
+        st.builds(
+            Call,
+            at=spans,
+            traffic_type=st.text(st.characters(categories=("L", "N", "P", "S"), codec="utf-8"), min_size=1),
+            edge=numbers,
+            no_answer=st.none() | st.integers(1, 10**17),
+            first_choice=numbers,
+            number=numbers,
+        ),
+        min_size=1,
+        max_size=8,
+    )
+)
+def test_what_is_written_is_read_back_the_same(
+    tmp_path_factory: pytest.TempPathFactory, calls: list[Call]
+) -> None:
+    folder = tmp_path_factory.mktemp("calls")
+    assert write_calls(folder / "calls.csv", calls) == len(calls)
+    ini = IniFile("[callers]\nrecord = calls.csv\n", "day.ini", folder)
+    assert read_calls(ini, "callers", "record") == sorted(calls, key=lambda call: call.at)
+    assert not ini.flaws
+
+
+@given(st.binary(max_size=200))
+def test_whatever_a_file_holds_it_is_read_or_has_flaws(
+    tmp_path_factory: pytest.TempPathFactory, data: bytes
+) -> None:
+    folder = tmp_path_factory.mktemp("calls")
+    (folder / "calls.csv").write_bytes(b"at,type\n" + data)
+    ini = IniFile("[callers]\nrecord = calls.csv\n", "day.ini", folder)
+    assert bool(read_calls(ini, "callers", "record")) or ini.flaws
+
+
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ("", ["calls.csv:1: the column 'at' is missing", "calls.csv:1: the column 'type' is missing"]),
+        ("at,type,dge\n", ["calls.csv:1: 'dge' is no column; known are at, type, edge"]),
+        ("at,type,at\n1,booking,2\n", ["calls.csv:1: 'at' stands twice"]),
+        ("at,type\n", ["replay.ini:70: [callers] record: calls.csv: holds no call"]),
+        ("at,type\n1\n", ["calls.csv:2: 1 values under 2 columns"]),
+        ("at,type\n1,booking\n\n-1,booking\n", ["calls.csv:4: at: '-1' is out of range"]),
+        ("at,type\nsoon,booking\n", ["calls.csv:2: at: 'soon' is no number of seconds"]),
+        ("at,type\nNaN,booking\n", ["calls.csv:2: at: 'NaN' is out of range"]),
+        ("at,type\n1e30,booking\n", ["calls.csv:2: at: '1e30' is out of range"]),
+        ("at,type\n1,\n", ["calls.csv:2: type: missing"]),
+        ("at,type,no_answer\n1,booking,0\n", ["calls.csv:2: no_answer: nobody waits for no time"]),
+        ("at,type,edge\n1,booking,-1\n", ["calls.csv:2: edge: '-1' is no whole number"]),
+        ("at,type,number\n1,booking,\u0663\n", ["calls.csv:2: number: '\u0663' is no whole number"]),
+        (
+            "at,type\n1,fax\n",
+            ["replay.ini:70: [callers] record: has calls of 'fax', and there is no [mix fax]"],
+        ),
+        ("at,type,edge\n1,booking,3\n", ["replay.ini:70: [callers] record: names edge proxy 3 of 3"]),
+        (
+            "at,type,first_choice\n1,booking,4\n",
+            ["replay.ini:70: [callers] record: names first choice 4 of 4"],
+        ),
+    ],
+)
+def test_a_flawed_record_is_refused_with_its_line(text: str, said: list[str], tmp_path: Path) -> None:
+    (tmp_path / "calls.csv").write_text(text)
+    found = flaws(tmp_path)
+    assert len(found) == len(said)
+    assert all(one.startswith(start) for one, start in zip(found, said, strict=True)), found
+
+
+def test_a_file_of_another_kind_is_not_told_line_by_line(tmp_path: Path) -> None:
+    (tmp_path / "calls.csv").write_text("at,type\n" + "x\n" * 10_000)
+    assert len(flaws(tmp_path)) == FLAWS_TOLD
+
+
+@pytest.mark.parametrize(
+    "old, new, said",
+    [
+        ("record = calls.csv\n", "", "rate: missing"),
+        ("record = calls.csv\n", "rate = 1\ntimes = 2\n", "times: says something of a `record`"),
+        ("record = calls.csv\n", "record = calls.csv\nrate = 1\n", "rate: moments come from the `record`"),
+        ("record = calls.csv\n", "record = calls.csv\ndrift = 2\n", "drift: moments come from the `record`"),
+        ("record = calls.csv\n", "record = gone.csv\n", "record: gone.csv: No such file"),
+    ],
+)
+def test_a_record_and_a_rate_exclude_each_other(old: str, new: str, said: str, tmp_path: Path) -> None:
+    write_calls(tmp_path / "calls.csv", [Call(1, "booking")])
+    (found,) = flaws(tmp_path, (old, new))
+    assert f"[callers] {said}" in found
+
+
+# Days that play one
+
+
+def test_an_emulated_days_record_with_its_seed_is_that_day_again(tmp_path: Path) -> None:
+    rows = run_emulated(day(IniFile(DAY, "day"), "day")).rows
+    assert write_calls(tmp_path / "calls.csv", calls_of(rows)) > 400
+    again = run_emulated(replay(tmp_path)).rows
+    assert again == rows and audit(again).kept
+    other = run_emulated(replay(tmp_path, ("seed = 7", "seed = 8"))).rows
+    assert first_tries(other) == first_tries(rows) and other != rows, "the moments stay, chance does not"
+
+
+def test_the_program_dials_a_record_at_its_moments(tmp_path: Path) -> None:
+    rows = run_emulated(day(IniFile(DAY, "day"), "day")).rows
+    write_calls(tmp_path / "calls.csv", calls_of(rows))
+    played = run_virtual(replay(tmp_path))
+    assert audit(played).kept
+    # Ids number first tries at each edge proxy in their order, whatever came between.
+    wanted, found = sorted(first_tries(rows)), sorted(first_tries(played))
+    assert [one[1:] for one in found] == [one[1:] for one in wanted]
+    assert all(abs(a[0] - b[0]) < 1_000 for a, b in zip(found, wanted, strict=True)), "to the clock's float"
+
+
+def test_a_record_spread_over_another_fleet_and_from_later_on(tmp_path: Path) -> None:
+    calls = [Call(at * SECOND // 50, "booking", 9, 7 * SECOND, 8, at) for at in range(500)]
+    write_calls(tmp_path / "calls.csv", calls)
+    assert "names edge proxy 9 of 3" in flaws(tmp_path)[0]
+    spread = replay(tmp_path, ("calls.csv", "calls.csv\nspread = yes\nrecord_from = 4s"))
+    assert spread.recorded is not None
+    counts = [len(spread.recorded[place]) for place in range(3)]
+    assert sum(counts) == 300 and min(counts) > 70
+    assert min(calls[0].at for calls in spread.recorded.values()) == 0
+    tries = first_tries(run_emulated(spread).rows)
+    assert len(tries) == 300 and max(at for at, *_ in tries) < 6 * SECOND + 1
+    assert {span for *_, span in tries} == {7 * SECOND}
+
+
+@pytest.mark.parametrize("change", ["times = 2", "times = 0.5"])
+def test_each_call_is_dialled_so_many_times_and_a_burst_dials_more(change: str, tmp_path: Path) -> None:
+    write_calls(tmp_path / "calls.csv", [Call(at * SECOND // 50, "booking", at % 3) for at in range(500)])
+    calm = REPLAY.index("[trouble ")
+    text = REPLAY[:calm].replace("calls.csv", f"calls.csv\n{change}")
+    text += "[trouble b]\nkind = burst\nstart = 5s\nlength = 5s\nsize = 2\n"
+    tries = first_tries(run_emulated(day(IniFile(text, "d", tmp_path), "d")).rows)
+    before, burst = (sum((at >= 5 * SECOND) is late for at, *_ in tries) for late in (False, True))
+    times = float(change.split()[-1])
+    assert before == pytest.approx(250 * times, rel=0.15) and burst == pytest.approx(500 * times, rel=0.15)
+
+
+def test_another_record_is_another_run_of_an_experiment(tmp_path: Path) -> None:
+    write_calls(tmp_path / "calls.csv", [Call(1, "booking")])
+    write_calls(tmp_path / "later.csv", [Call(2, "booking")])
+    write_calls(tmp_path / "same.csv", [Call(1, "booking")])
+    keys = []
+    for name in ("calls.csv", "later.csv"):
+        run = Run({}, 1, REPLAY.replace("calls.csv", name), str(tmp_path))
+        assert run.played().recorded
+        keys.append(run.key)
+    other = tmp_path / "other"
+    other.mkdir()
+    write_calls(other / "calls.csv", [Call(2, "booking")])
+    keys.append(Run({}, 1, REPLAY, str(other)).key)
+    assert len(set(keys)) == 3, "by what the file holds, not by its name alone"
+
+
+def test_a_search_takes_no_day_that_plays_a_record(tmp_path: Path) -> None:
+    write_calls(tmp_path / "calls.csv", [Call(1, "booking")])
+    (tmp_path / "day.ini").write_text(REPLAY)
+    (tmp_path / "search.ini").write_text("[search]\nday = day.ini\n")
+    with pytest.raises(FlawedTermsError, match="a search varies the rate"):
+        load_search(tmp_path / "search.ini")
+
+
+def test_from_kept_rows_to_a_day_that_plays_them(tmp_path: Path) -> None:
+    rows = run_emulated(day(IniFile(DAY, "day"), "day")).rows
+    tap.write(tmp_path / "rows.jsonl", rows)
+    words = ["calls", str(tmp_path / "rows.jsonl"), "--out", str(tmp_path / "calls.csv")]
+    ran = CliRunner().invoke(main, words)
+    assert ran.exit_code == 0 and f"{len(first_tries(rows))} calls" in ran.output
+    (tmp_path / "replay.ini").write_text(REPLAY)
+    made = load_day(tmp_path / "replay.ini")
+    assert made.recorded is not None
+    assert sum(len(calls) for calls in made.recorded.values()) == len(first_tries(rows))
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -20,7 +20,7 @@
 from valverouter.emulator.fleet import Fleet
 from valverouter.emulator.simulated import EPOCH, Chance, Simulated
 from valverouter.experiments.daypage import day_page
-from valverouter.servermodel.arrivals import Pattern, Source, replayed
+from valverouter.servermodel.arrivals import Pattern, Source, copies
 from valverouter.servermodel.server import Happens, Make, SetupServer
 from valverouter.signalling import setup
 from valverouter.signalling.tap import Passed
@@ -110,10 +110,17 @@
     assert variation[0] == pytest.approx(1, abs=0.1) and variation[1] > 3
 
 
-def test_a_drift_is_reached_at_the_end_and_a_record_is_played_from_its_first_moment() -> None:
+def test_a_drift_is_reached_at_the_end() -> None:
     pattern = Pattern(drift=3.0, over=10 * SECOND)
     assert [pattern.rate(10, at * SECOND) for at in (0, 5, 10, 20)] == [10, 20, 30, 30]
-    assert list(replayed([7, 9, 30], EPOCH)) == [EPOCH, EPOCH + 2, EPOCH + 23]
+
+
+@pytest.mark.parametrize("times, least, most", [(0.25, 0, 1), (1.0, 1, 1), (2.5, 2, 3)])
+def test_a_call_on_record_is_dialled_so_often_on_average(times: float, least: int, most: int) -> None:
+    chance = Chance(5, "copies")
+    found = [copies(times, chance.random) for _ in range(4_000)]
+    assert (min(found), max(found)) == (least, most)
+    assert sum(found) / len(found) == pytest.approx(times, rel=0.08)
 
 
 # Days
--- a/valverouter/cli/__main__.py
+++ b/valverouter/cli/__main__.py
@@ -29,6 +29,7 @@
 from valverouter.cli import tables
 from valverouter.days.loopback import EdgeFailedError, run_loopback
 from valverouter.days.planning import plan_of
+from valverouter.days.recorded import calls_of
 from valverouter.days.virtual import run_virtual
 from valverouter.days.world import World
 from valverouter.edge import logs
@@ -41,6 +42,7 @@
 from valverouter.regions.accounts import by_minute, merged, missing
 from valverouter.regions.crossing import Crossing
 from valverouter.signalling import tap
+from valverouter.terms.calls import write_calls
 from valverouter.terms.day import Day, day, load_day
 from valverouter.terms.edge import EdgeTerms, Log, edge_terms, load_edge_terms, load_settled
 from valverouter.terms.ini import FlawedTermsError, IniFile, show_span, span
@@ -167,6 +169,15 @@
     _show(rows)
 
 
+@main.command("calls")
+@click.argument("records", type=FILE)
+@click.option("--out", type=FILE, required=True, help="The calls go here, as CSV.")
+def kept_calls(records: Path, out: Path) -> None:
+    """The first tries in kept RECORDS as a file that a day's `record` plays again."""
+    count = write_calls(out, calls_of(tap.read(records)))
+    console.print(f"{count} calls; {out}", highlight=False, soft_wrap=True)
+
+
 @main.command()
 @click.argument("file", type=FILE)
 def check(file: Path) -> None:
--- a/valverouter/days/world.py
+++ b/valverouter/days/world.py
@@ -13,15 +13,16 @@
 import trio
 
 from valverouter.emulator.fleet import HOT_NUMBER, make_of
-from valverouter.servermodel.arrivals import Pattern, Source
+from valverouter.servermodel.arrivals import Pattern, Source, copies
 from valverouter.servermodel.server import CalledNumbers, SetupServer
 from valverouter.signalling import setup
 from valverouter.signalling.serverlist import PhaseWord, Row
-from valverouter.signalling.tap import Fault, Placed, Tap, Terms
+from valverouter.signalling.tap import Fault, Opened, Placed, Tap, Terms
 from valverouter.standins.callers import CallerStandIn, Habits, patient
 from valverouter.standins.listservice import ListStandIn
 from valverouter.standins.server import ServerStandIn
 from valverouter.standins.wires import Agenda, Place
+from valverouter.terms.calls import Call
 from valverouter.terms.day import Day, Trouble
 
 LATE_S = 0.3
@@ -148,6 +149,7 @@
 
     async def play(self, tick: Callable[[float], None] = lambda share: None) -> None:
         """The day itself: arrivals and troubles, then until all has its answer."""
+        self.tap.row(Opened)
         async with trio.open_nursery() as nursery:
             for name, trouble in self.day.troubles.items():
                 nursery.start_soon(self._trouble, name, trouble)
@@ -172,30 +174,46 @@
         kinds = list(day.mix)
         shares = [day.mix[kind].share for kind in kinds]
         terms = day.callers
-        pattern = Pattern(terms.on, terms.off, terms.drift, day.terms.length)
-        source = Source(pattern, lambda: chance.expovariate(1), self.now())
-        share = terms.rate / len(self.callers)
         home = day.region_of_edge(place)
         numbers = sorted(set(self.numbers_of.values()))
         if day.callers.local:
             numbers = [number for number in numbers if day.region_of_server(number) == home] or numbers
-        while True:
-            now = self.now()
-            await trio.sleep((source.next(now, share * self.rate) - now) / 1e9)
+
+        def dial(told: Call | None) -> None:
             kind = chance.choices(kinds, shares)[0]
             hot = chance.random() < self.hot
             first = chance.choice(numbers)
             number = HOT_NUMBER if hot else 100 + chance.randrange(10**6)
+            no_answer = None
+            if told is not None:
+                kind, no_answer = told.traffic_type, told.no_answer
+                first = first if told.first_choice is None else told.first_choice
+                number = number if hot or told.number is None else told.number
             caller.dial(
                 setup.Setup(
                     dialog="-",
                     traffic_type=kind,
-                    no_answer=day.mix[kind].no_answer,
+                    no_answer=no_answer or day.mix[kind].no_answer,
                     first_choice=first,
                     called_number=number,
                 )
             )
 
+        if day.recorded is not None:
+            began = self.now()
+            for told in day.recorded[place]:
+                await trio.sleep(max(0, began + told.at - self.now()) / 1e9)
+                for _ in range(copies(terms.times * self.rate, chance.random)):
+                    dial(told)
+            return
+        pattern = Pattern(terms.on, terms.off, terms.drift, day.terms.length)
+        source = Source(pattern, lambda: chance.expovariate(1), self.now())
+        share = terms.rate / len(self.callers)
+        while True:
+            now = self.now()
+            await trio.sleep((source.next(now, share * self.rate) - now) / 1e9)
+            dial(None)
+
     # Troubles
 
     async def _trouble(self, name: str, trouble: Trouble) -> None:
--- a/valverouter/emulator/fleet.py
+++ b/valverouter/emulator/fleet.py
@@ -13,9 +13,10 @@
 from valverouter.emulator.servers import EmulatedServer
 from valverouter.emulator.simulated import Chance, Simulated
 from valverouter.interface import ListScope, Report, ServerEntry
-from valverouter.servermodel.arrivals import Pattern, Source
+from valverouter.servermodel.arrivals import Pattern, Source, copies
 from valverouter.servermodel.server import CalledNumbers, Make, SetupServer
-from valverouter.signalling.tap import Fault, Placed, Row, Tap, Terms, Told
+from valverouter.signalling.tap import Fault, Opened, Placed, Row, Tap, Terms, Told
+from valverouter.terms.calls import Call
 from valverouter.terms.day import Day, Trouble
 
 SECOND = 1_000_000_000
@@ -151,6 +152,7 @@
         settle = sim.now() + day.terms.settle
         self._ends = settle + day.terms.length
         sim.run(settle)
+        self.tap.row(Opened)
         for name, trouble in day.troubles.items():
             sim.env.process(self._trouble(name, trouble))
         for callers in self.callers:
@@ -197,14 +199,23 @@
         if terms.local:
             numbers = [number for number in numbers if day.region_of_server(number) == home] or numbers
 
-        def call() -> None:
+        def dial(told: Call | None) -> None:
+            # What is on record is drawn all the same, so that a day's record with its seed is that day again.
             kind = kinds[asks.weighted(shares)]
             called = 100 + asks.below(10**6)
-            if asks.random() < self.hot:
-                called = HOT_NUMBER
+            hot = asks.random() < self.hot
             first = numbers[asks.below(len(numbers))]
+            no_answer = None
+            if told is not None:
+                kind, no_answer = told.traffic_type, told.no_answer
+                called = called if told.number is None else told.number
+                first = first if told.first_choice is None else told.first_choice
             self.dialled += 1
-            callers.dial(Asked("-", kind, day.mix[kind].no_answer, first, called))
+            called = HOT_NUMBER if hot else called
+            callers.dial(Asked("-", kind, no_answer or day.mix[kind].no_answer, first, called))
+
+        def call() -> None:
+            dial(None)
             again()
 
         def again() -> None:
@@ -212,6 +223,23 @@
             if at < self._ends:
                 self.sim.at(at, call)
 
+        if day.recorded is not None:
+            began = self.sim.now()
+            calls = (one for one in day.recorded[place] if began + one.at < self._ends)
+
+            def replay(told: Call) -> None:
+                for _ in range(copies(terms.times * self.rate, chance.random)):
+                    dial(told)
+                go_on()
+
+            def go_on() -> None:
+                # One at a time: the calendar holds a call for each edge proxy, not the record.
+                if (told := next(calls, None)) is not None:
+                    self.sim.at(began + told.at, replay, told)
+
+            go_on()
+            return
+
         again()
 
     # The list
--- a/valverouter/experiments/plan.py
+++ b/valverouter/experiments/plan.py
@@ -55,6 +55,7 @@
     levels: dict[str, str]
     seed: int
     text: str
+    folder: str = ""
 
     @property
     def variant(self) -> str:
@@ -62,11 +63,20 @@
 
     @property
     def key(self) -> str:
-        said = "\0".join([version(), self.variant, str(self.seed), self.text])
+        said = "\0".join([version(), self.variant, str(self.seed), self.text, *self._record()])
         return hashlib.sha256(said.encode()).hexdigest()[:24]
 
+    def _ini(self) -> IniFile:
+        return IniFile(self.text, "run", Path(self.folder))
+
+    def _record(self) -> list[str]:
+        """A digest of the calls on record that the day plays again: another record is another run."""
+        ini = self._ini()
+        named = ini.sections.get("callers", {}).get("record", "")
+        return [_digest(ini.folder / named)] if named else []
+
     def played(self) -> Day:
-        return day(IniFile(self.text, "run"), "run")
+        return day(self._ini(), "run")
 
 
 class Plan(Struct, frozen=True):
@@ -77,6 +87,7 @@
     factors: dict[str, Factor]
     text: str
     baseline: dict[str, str]
+    folder: str
 
     def runs(self) -> Iterator[Run]:
         names = list(self.factors)
@@ -96,7 +107,7 @@
             for place in self.factors[name].set:
                 section, _, key = place.rpartition(".")
                 changes.append((section, key, level))
-        return Run(named, seed, changed(self.text, changes))
+        return Run(named, seed, changed(self.text, changes), self.folder)
 
 
 def plan(path: Path) -> Plan:
@@ -126,7 +137,7 @@
         if name not in known or level not in known[name].levels:
             ini.flaw("experiment", "baseline", f"{part.strip()!r}: FACTOR = LEVEL of this file")
         baseline[name] = level
-    made = Plan(path.stem, head.seeds, known, text, baseline)
+    made = Plan(path.stem, head.seeds, known, text, baseline, str((path.parent / head.day).parent))
     if not ini.flaws:
         for run in made.runs():
             if run.seed == head.seeds[0]:
@@ -161,6 +172,11 @@
     return out.getvalue()
 
 
+@cache
+def _digest(path: Path) -> str:
+    return hashlib.sha256(path.read_bytes()).hexdigest()
+
+
 @cache
 def version() -> str:
     """A digest of the sources that a run's figures hang on."""
--- a/valverouter/experiments/search.py
+++ b/valverouter/experiments/search.py
@@ -106,9 +106,13 @@
     assert found is not None
     calm = _without_troubles(base)
     try:
-        return found, day(IniFile(calm, "base"), "base"), calm
+        made = day(IniFile(calm, "base", (path.parent / found.day).parent), "base")
     except FlawedTermsError as error:
         raise FlawedTermsError([*ini.flaws, *error.flaws]) from None
+    if made.recorded is not None:
+        ini.flaw("search", "day", "plays a record; a search varies the rate of its day")
+        ini.done()
+    return found, made, calm
 
 
 def _without_troubles(text: str) -> str:
--- a/valverouter/servermodel/arrivals.py
+++ b/valverouter/servermodel/arrivals.py
@@ -1,12 +1,12 @@
 """When callers call: gaps between dialogs, from draws that are handed in. Rates are dialogs a second.
 
 Poisson arrivals; on-off, where spans without any lie between denser ones so that the mean holds; a drift of
-the rate over the day; a record played again.
+the rate over the day. A record's moments come from the record; here is how often each is dialled.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass
 
 SECOND = 1_000_000_000
@@ -52,6 +52,7 @@
         return at
 
 
-def replayed(moments: Sequence[int], began: int) -> Iterator[int]:
-    """A record's moments, moved so that the first comes with the day's beginning."""
-    return (began + at - moments[0] for at in moments)
+def copies(times: float, uniform: Callable[[], float]) -> int:
+    """How often a call on record is dialled, so that it is `times` on average; whole times draw nothing."""
+    whole = int(times)
+    return whole + (uniform() < times - whole if times > whole else 0)
--- a/valverouter/signalling/tap.py
+++ b/valverouter/signalling/tap.py
@@ -80,6 +80,13 @@
     region: str
 
 
+class Opened(Struct, tag_field="row", tag="opened", frozen=True):
+    """The day's callers begin: what a record's moments are counted from."""
+
+    seq: int
+    at: int
+
+
 class Terms(Struct, tag_field="row", tag="terms", frozen=True):
     """What the audit holds the fleet to, and the clock's looseness: 0 in virtual time."""
 
@@ -91,7 +98,7 @@
     importance: dict[str, float]
 
 
-Row = Passed | Told | Lost | Began | Fault | Placed | Terms
+Row = Passed | Told | Lost | Began | Fault | Placed | Opened | Terms
 
 
 class Tap:
--- a/valverouter/terms/day.py
+++ b/valverouter/terms/day.py
@@ -3,11 +3,14 @@
 
 from __future__ import annotations
 
+import zlib
 from pathlib import Path
 from typing import Annotated
 
+import msgspec
 from msgspec import Meta, Struct
 
+from valverouter.terms.calls import Call, read_calls
 from valverouter.terms.edge import EdgeTerms, Fleet, Links, Traffic, edge_terms, traffic_types
 from valverouter.terms.ini import IniFile, LongSpan, PerSecond, Positive, Rate, Share, Span, Whole, Words
 
@@ -80,13 +83,21 @@
 
 
 class Callers(Struct, frozen=True):
-    """[callers]: dialogs a second in all, and what callers do when they are turned away.
-
-    `local`: their first choice is a server of their own edge proxy's region, where it has one. `on`, `off`:
-    mean spans of an on-off load with the same mean rate; `drift`: times the rate at the day's end.
+    """[callers]: dialogs a second in all, or a record of calls that is played again; and what callers do when
+    they are turned away.
+
+    `record`: a file of calls beside the day's (valverouter/terms/calls.py), from its moment `record_from` on;
+    `spread`: edge proxies and first choices are drawn and those on record left aside, for a fleet of another
+    shape; `times`: how often each is dialled, on average. `local`: their first choice is a server of their
+    own edge proxy's region, where it has one. `on`, `off`: mean spans of an on-off load with the same mean
+    rate; `drift`: times the rate at the day's end.
     """
 
-    rate: PerSecond
+    rate: PerSecond = 0.0
+    record: str = ""
+    record_from: Span = 0
+    spread: bool = False
+    times: Rate = 1.0
     redials: Whole = 0
     redial_wait: LongSpan = 800 * MS
     patience: Annotated[float, Meta(gt=0, le=1)] = 1.0
@@ -147,6 +158,8 @@
     list_terms: ListTerms
     troubles: dict[str, Trouble]
     shared: str
+    # The calls of a record by edge proxy, in order, from the day's beginning on; None: callers call by rate.
+    recorded: dict[int, list[Call]] | None = None
 
     def edge_ini(self, place: int, listen: str, list_service: str, cache: str, accounts: str = "") -> str:
         """The file that edge proxy number `place` of this day is started with."""
@@ -223,11 +236,14 @@
         ini.flaw("", "", "no [mix TYPE] section: nobody would call")
     if fleet and sum(region.edges for region in regions.values() if region) != fleet.edge_proxies:
         ini.flaw("fleet", "edge_proxies", "must be the sum of `edges` over the regions")
-    if not sum(region.servers for region in regions.values() if region):
+    if not _servers(regions):
         ini.flaw("", "", "no [region NAME] has servers")
     for one, trouble in troubles.items():
         if trouble and trouble.kind not in KINDS:
             ini.flaw(f"trouble {one}", "kind", f"{trouble.kind!r} is not known; known are {', '.join(KINDS)}")
+    recorded = None
+    if callers and fleet and terms:
+        recorded = _recorded(ini, callers, fleet.edge_proxies, terms.seed, mix, _servers(regions))
     ini.done()
     assert terms and fleet and links and delays and servers and callers and list_terms
     return Day(
@@ -244,9 +260,49 @@
         list_terms=list_terms,
         troubles={one: trouble for one, trouble in troubles.items() if trouble},
         shared=_shared(ini),
+        recorded=recorded,
     )
 
 
+def _servers(regions: dict[str, Region | None]) -> int:
+    return sum(region.servers for region in regions.values() if region)
+
+
+def _recorded(
+    ini: IniFile, callers: Callers, edges: int, seed: int, mix: dict[str, Mix | None], servers: int
+) -> dict[int, list[Call]] | None:
+    """The record's calls by edge proxy; None where callers call by rate."""
+    given = ini.sections["callers"]
+    if not callers.record:
+        if not callers.rate:
+            ini.flaw("callers", "rate", "missing: dialogs a second, or a `record` of calls")
+        for key in ("record_from", "spread", "times"):
+            if key in given:
+                ini.flaw("callers", key, "says something of a `record`, and none is given")
+        return None
+    for key in ("rate", "on", "off", "drift"):
+        if key in given:
+            ini.flaw("callers", key, "moments come from the `record`; give one or the other")
+    calls = read_calls(ini, "callers", "record")
+    for kind in sorted({call.traffic_type for call in calls} - mix.keys()):
+        ini.flaw("callers", "record", f"has calls of {kind!r}, and there is no [mix {kind}]")
+    dealt: dict[int, list[Call]] = {place: [] for place in range(edges)}
+    for at, call in enumerate(calls):
+        if call.at < callers.record_from:
+            continue
+        # Dealt by a digest of seed and place in the record: the same for every kind of run of the day.
+        edge, first = zlib.crc32(b"%d/%d" % (seed, at)) % edges, None
+        if not callers.spread:
+            edge, first = edge if call.edge is None else call.edge, call.first_choice
+        if edge >= edges or (first is not None and first >= servers):
+            what = f"edge proxy {edge} of {edges}" if edge >= edges else f"first choice {first} of {servers}"
+            ini.flaw("callers", "record", f"names {what}, counted from 0; `spread = yes` draws them anew")
+            break
+        moved = msgspec.structs.replace(call, at=call.at - callers.record_from, edge=edge, first_choice=first)
+        dealt[edge].append(moved)
+    return dealt
+
+
 def load_day(path: Path) -> Day:
     return day(IniFile.load(path), path.stem)
 
--- a/valverouter/terms/ini.py
+++ b/valverouter/terms/ini.py
@@ -82,8 +82,10 @@
 class IniFile:
     """A file's sections with the line of each key, and the flaws found in it so far."""
 
-    def __init__(self, text: str, name: str) -> None:
+    def __init__(self, text: str, name: str, folder: Path = Path()) -> None:
         self.name = name
+        # What it names without a leading slash lies here.
+        self.folder = folder
         self.flaws: list[Flaw] = []
         self.sections: dict[str, dict[str, str]] = {}
         self.text = text
@@ -115,7 +117,7 @@
             with path.open("rb") as file:
                 data = file.read(FILE_MOST + 1)
             if len(data) <= FILE_MOST:
-                return cls(data.decode("utf-8-sig"), str(path))
+                return cls(data.decode("utf-8-sig"), str(path), path.parent)
             reason = f"longer than {FILE_MOST} bytes"
         except (OSError, UnicodeDecodeError) as error:
             reason = getattr(error, "strerror", None) or "not UTF-8 text"
