--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -1,10 +1,11 @@
 """Whether the emulator agrees with the edge proxy and the stand-ins: the same days on both, by trouble.
 
-    python benchmarks/agreement.py [--seeds 8] [--jobs 8] [--loopback]
+    python benchmarks/agreement.py [--seeds 8] [--jobs 8] [--loopback] [--only crash]
 
 The far side is the edge proxy's own code with the stand-ins, in virtual time; with --loopback on real
-sockets, one day after the other. Each day is the bad day's fleet and load with one trouble. Printed: the mean
-service on both, the difference with its standard error, and the audits' verdicts.
+sockets, one day after the other. Each day is the bad day's fleet and load with one trouble; both sides dial
+one record of calls, so that they do not differ by who called when. Printed: the mean service on both, the
+difference with its standard error, and the audits' verdicts.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 import logging
 import math
 import multiprocessing
+import random
 import statistics
 import tempfile
 from pathlib import Path
@@ -25,6 +27,7 @@
 from valverouter.days.loopback import run_loopback
 from valverouter.days.virtual import run_virtual
 from valverouter.signalling.tap import Row
+from valverouter.terms.calls import Call, write_calls
 from valverouter.terms.day import Day, day
 from valverouter.terms.ini import IniFile
 
@@ -42,6 +45,24 @@
 }
 
 
+def calls(played: Day) -> list[Call]:
+    """The day's load as a record: Poisson arrivals, the first choice and the number with each."""
+    chance, at, made = random.Random(f"{played.terms.seed}/calls"), 0.0, list[Call]()
+    kinds = list(played.mix)
+    shares = [played.mix[kind].share for kind in kinds]
+    while (at := at + chance.expovariate(played.callers.rate)) < played.terms.length / 1e9:
+        made.append(
+            Call(
+                int(at * 1e9),
+                chance.choices(kinds, shares)[0],
+                edge=chance.randrange(played.fleet.edge_proxies),
+                first_choice=chance.randrange(played.server_count),
+                number=100 + chance.randrange(10**6),
+            )
+        )
+    return made
+
+
 def script(trouble: str, seed: int) -> Day:
     text = DAY.read_text()
     text = text[: text.index("[trouble ")].replace("length = 30s\nseed = 7", f"length = 14s\nseed = {seed}")
@@ -49,7 +70,11 @@
         span = "800ms" if trouble == "edge stalls" else "5s"
         struck = "" if "edge" in trouble else "on = s0, s3\n"
         text += f"[trouble one]\n{TROUBLES[trouble]}\nstart = 4s\nlength = {span}\n{struck}"
-    return day(IniFile(text, trouble), trouble)
+    by_rate = day(IniFile(text, trouble), trouble)
+    with tempfile.TemporaryDirectory() as folder:
+        write_calls(Path(folder) / "calls.csv", calls(by_rate))
+        text = text.replace(f"rate = {by_rate.callers.rate:g}\n", "record = calls.csv\n")
+        return day(IniFile(text, trouble, Path(folder)), trouble)
 
 
 def judged(played: Day, rows: list[Row]) -> tuple[float, bool]:
@@ -74,11 +99,16 @@
     parser.add_argument("--seeds", type=int, default=8)
     parser.add_argument("--jobs", type=int, default=8)
     parser.add_argument("--loopback", action="store_true")
+    parser.add_argument("--only", choices=TROUBLES, action="append")
     options = parser.parse_args()
-    jobs = [(name, seed, options.loopback) for name in TROUBLES for seed in range(1, options.seeds + 1)]
+    jobs = [
+        (name, seed, options.loopback)
+        for name in options.only or TROUBLES
+        for seed in range(1, options.seeds + 1)
+    ]
     with multiprocessing.Pool(1 if options.loopback else options.jobs) as pool:
         results = pool.map(one, jobs, chunksize=1)
-    for name in TROUBLES:
+    for name in options.only or TROUBLES:
         pairs = [(emulated, far) for trouble, emulated, far in results if trouble == name]
         gaps = [emulated[0] - far[0] for emulated, far in pairs]
         error = statistics.stdev(gaps) / math.sqrt(len(gaps)) if len(gaps) > 1 else float("nan")
