The edge proxy keeps what it owes over a kill: records before words, callers and servers resumed

KeepingProxy (edge/keeping.py) is EdgeProxy with a store, by seams that cost the plain one a call each. edge/owed.py moves a record for each dialog by recovery/course.py and commits at the end of each turn, before Departures.end lets its words go. At a start it takes over what decide.at_start says; servers are asked in pace's order. Set-up protocol version 2: resume, kept, unknown, epochs in hello and welcome; a server fences off the former self, keeps for a while what is on record as standing, and gives up the rest with the connection as before. Callers come back for their dialogs; one whose caller does not come back goes nowhere. A store that fails is voided and costs the records, never the calls.

--- /dev/null
+++ b/benchmarks/restarts.py
@@ -0,0 +1,114 @@
+"""Kills of edge proxies under load, and whether the audit accounts for every dialog.
+
+    python benchmarks/restarts.py [--virtual 1000] [--loopback 60] [--jobs 6]
+
+`--virtual N`: N days of 4 s in virtual time, six kills each, with a ledger and without. `--loopback N`: one
+day on sockets in which edge proxies get SIGKILL N times at drawn moments. Printed: kills, how often callers
+came back for a dialog, broken rules, service.
+"""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import multiprocessing
+import random
+import statistics
+import tempfile
+from pathlib import Path
+
+import structlog
+
+from valverouter.audit.account import account, service
+from valverouter.audit.rules import audit
+from valverouter.days.loopback import run_loopback
+from valverouter.days.virtual import run_virtual
+from valverouter.terms.day import Day, day
+from valverouter.terms.ini import IniFile
+
+DAY = Path(__file__).parent.parent / "deploy" / "days" / "bad-day.ini"
+TROUBLES = (
+    "",
+    "[trouble s]\nkind = slow\nstart = 1s\nlength = 3s\nsize = 4\non = s0, s1\n",
+    "[trouble m]\nkind = answer_lost\nstart = 1s\nlength = 3s\nsize = 0.5\non = s0, s1\n",
+    "[trouble d]\nkind = crash\nstart = 2s\nlength = 1s\non = s0, s1\n",
+)
+# What a process takes to come up on a machine that does other things as well.
+COMES_UP = 2_000
+
+
+def script(seed: int, seconds: int, kills: int, ledger: bool, apart: int) -> Day:
+    """A day with kills of its edge proxies, each `apart` ms or more from its last, and one other trouble."""
+    chance = random.Random(f"{seed}/kills")
+    text = DAY.read_text()
+    text = text[: text.index("[trouble ")].replace(
+        "length = 30s\nseed = 7", f"length = {seconds}s\nseed = {seed}"
+    )
+    text += TROUBLES[seed % len(TROUBLES)]
+    slot = (seconds * 1_000 - 500) // max(1, -(-kills // 3))
+    for at in range(kills):
+        start = at // 3 * slot + chance.randrange(100, max(101, slot - apart))
+        text += f"[trouble k{at}]\nkind = balancer_crash\nstart = {start}ms\nlength = 50ms\non = e{at % 3}\n"
+    return day(IniFile(text + ("[ledger]\n" if ledger else ""), "kills"), "kills")
+
+
+def one(seed: int) -> list[tuple[int, int, int, float]]:
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    found = []
+    for ledger in (True, False):
+        played = script(seed, 4, 6, ledger, 300)
+        rows = run_virtual(played)
+        verdict = audit(rows)
+        found.append(
+            (
+                len(verdict.breaches),
+                verdict.resumed,
+                verdict.forgotten,
+                service(account(rows), played.importance),
+            )
+        )
+    return found
+
+
+def virtual(days: int, jobs: int) -> None:
+    with multiprocessing.Pool(jobs) as pool:
+        results = pool.map(one, range(1, days + 1), chunksize=5)
+    for name, column in (("ledger", 0), ("without", 1)):
+        rows = [result[column] for result in results]
+        print(
+            f"virtual, {name}: {days} days, {6 * days} kills, {sum(row[1] for row in rows)} resumed, "
+            f"{sum(row[2] for row in rows)} forgotten, {sum(row[0] > 0 for row in rows)} days with a broken "
+            f"rule, service {statistics.mean(row[3] for row in rows):.4f}"
+        )
+
+
+def loopback(kills: int) -> None:
+    seconds = 3 + COMES_UP * -(-kills // 3) // 1_000
+    for ledger in (True, False):
+        played = script(4, seconds, kills, ledger, COMES_UP - 300)
+        with tempfile.TemporaryDirectory() as folder:
+            rows = run_loopback(played, Path(folder))
+        verdict = audit(rows)
+        print(
+            f"loopback, {'ledger' if ledger else 'without'}: {seconds} s, {kills} SIGKILL, "
+            f"{verdict.checked[1]} dialogs, {verdict.resumed} resumed, {verdict.forgotten} forgotten, "
+            f"{len(verdict.breaches)} breaches, service {service(account(rows), played.importance):.4f}"
+        )
+        for breach in verdict.breaches[:10]:
+            print(" ", breach)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--virtual", type=int, default=0)
+    parser.add_argument("--loopback", type=int, default=0)
+    parser.add_argument("--jobs", type=int, default=6)
+    options = parser.parse_args()
+    if options.virtual:
+        virtual(options.virtual, options.jobs)
+    if options.loopback:
+        loopback(options.loopback)
+
+
+if __name__ == "__main__":
+    main()
--- a/valverouter/audit/rules.py
+++ b/valverouter/audit/rules.py
@@ -12,8 +12,8 @@
 
 from valverouter.signalling.tap import Began, Fault, Lost, Passed, Row, Terms, Told
 
-FINAL = ("stands", "declined", "aborted")
-CLOSES = ("ended", "line-busy", "full", "no-agent", "fault", "cancelled")
+FINAL = ("stands", "declined", "aborted", "unknown")
+CLOSES = ("ended", "line-busy", "full", "no-agent", "fault", "cancelled", "unknown")
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +33,10 @@
     breaches: list[Breach] = field(default_factory=list)
     checked: dict[int, int] = field(default_factory=lambda: dict.fromkeys(range(1, 6), 0))
     cold_margin_used: float = 0.0
+    # How often a caller came back for a dialog on another connection, and how often for one that had stood
+    # and was not known any more.
+    resumed: int = 0
+    forgotten: int = 0
 
     @property
     def kept(self) -> bool:
@@ -68,14 +72,19 @@
     """Rule 1: exactly one final answer within the no-answer time, and nothing after but the end of what
     stands.
 
-    Nothing is owed once the caller's own connection is gone, and no answer can be asked of a process that was
-    held through the no-answer time; a late one is a breach all the same.
+    Nothing is owed once the caller's own connection is gone, until it resumes on another: then the answer is
+    owed as before, and one that was given may come again, the same. What was told as taken or standing is
+    known when it is asked for again. No answer can be asked of a process that was held through the no-answer
+    time; a late one is a breach all the same.
     """
     callers = {row.peer for row in rows if isinstance(row, Passed) and row.sent and row.kind == "setup"}
     stalls = _faults(rows, "balancer_stall")
     open_: dict[str, Passed] = {}
     by_caller: dict[str, set[str]] = defaultdict(set)
     said: dict[str, list[str]] = {}
+    # Open when their caller's connection was lost, and those told as taken: asked for again, they are owed.
+    away: dict[str, Passed] = {}
+    taken: set[str] = set()
 
     def breach(at: int, dialog: str, text: str) -> None:
         verdict.breaches.append(Breach(1, at, dialog, text))
@@ -92,6 +101,7 @@
                 # forgiving all that was open then forgave every answer that never came.
                 if (asked := open_.pop(dialog, None)) is not None:
                     owed(asked, row.at)
+                    away[dialog] = asked
                 said.setdefault(dialog, []).append("lost")
         if not isinstance(row, Passed) or row.peer not in callers or not row.dialog:
             continue
@@ -100,7 +110,26 @@
             open_[row.dialog] = row
             by_caller[row.peer].add(row.dialog)
             said[row.dialog] = []
+        elif row.sent and row.kind == "resume":
+            verdict.resumed += 1
+            words = said.setdefault(row.dialog, [])
+            if words and words[-1] == "lost":
+                words.pop()
+            if (asked := away.pop(row.dialog, None)) is not None:
+                open_[row.dialog] = asked
+            elif words in (["stands"], ["declined"], ["aborted"]):
+                words[0] += " before"
+            by_caller[row.peer].add(row.dialog)
+        elif not row.sent and row.kind == "provisional" and not said.get(row.dialog):
+            taken.add(row.dialog)
+        elif not row.sent and said.get(row.dialog) == [f"{row.kind} before"]:
+            said[row.dialog] = [row.kind]
+        elif not row.sent and row.kind == "unknown" and said.get(row.dialog) == ["stands before"]:
+            said[row.dialog] = ["stands", "ended"]
+            verdict.forgotten += 1
         elif not row.sent and row.kind in FINAL:
+            if row.kind == "unknown" and row.dialog in taken:
+                breach(row.at, row.dialog, "unknown after it was told as taken")
             words = said.setdefault(row.dialog, [])
             answered = open_.pop(row.dialog, None)
             by_caller[row.peer].discard(row.dialog)
--- a/valverouter/cli/__main__.py
+++ b/valverouter/cli/__main__.py
@@ -10,9 +10,10 @@
 import signal
 import sys
 import tempfile
+import time
 from collections import Counter
-from collections.abc import Callable
-from contextlib import closing, suppress
+from collections.abc import Callable, Iterator
+from contextlib import closing, contextmanager, suppress
 from pathlib import Path
 
 import click
@@ -34,9 +35,10 @@
 from valverouter.days.world import World
 from valverouter.edge import logs
 from valverouter.edge.attempting import AttemptBook
+from valverouter.edge.keeping import edge_proxy
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import Sockets, long_lived
-from valverouter.ledger.store import Damaged, Ledger, LedgerError
+from valverouter.ledger.store import Damaged, Ledger, LedgerBusyError, LedgerError
 from valverouter.load.drive import LoadFailedError
 from valverouter.recovery.course import Record
 from valverouter.regions.accounts import by_minute, merged, missing
@@ -74,18 +76,41 @@
     logs.set_up(terms.log)
     try:
         trio.run(_edge, terms, file)
-    except* OSError as group:
-        log.error("could-not-run", why=str(group.exceptions[0]), listen=terms.listen)
+    except* (OSError, LedgerError) as group:
+        log.error("could-not-run", why=str(_leaf(group)), listen=terms.listen)
         sys.exit(FAILED)
 
 
 async def _edge(terms: EdgeTerms, file: Path) -> None:
-    proxy = EdgeProxy(terms, Sockets(terms.links.silence))
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(_signals, proxy, file)
-        long_lived()
-        await proxy.run()
-        nursery.cancel_scope.cancel()
+    with _store(terms) as store:
+        proxy = edge_proxy(terms, Sockets(terms.links.silence), store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_signals, proxy, file)
+            long_lived()
+            await proxy.run()
+            nursery.cancel_scope.cancel()
+
+
+@contextmanager
+def _store(terms: EdgeTerms) -> Iterator[Ledger | None]:
+    """The ledger of the terms. One that can't be read is set aside whole: what it held is lost, and no reason
+    to serve nobody."""
+    told = terms.ledger
+    if not told.folder:
+        yield None
+        return
+    folder = Path(told.folder)
+    try:
+        store = Ledger(folder, told.most, told.sync)
+    except LedgerBusyError:
+        raise
+    except LedgerError as error:
+        aside = folder.with_name(f"{folder.name}.aside-{time.time_ns()}")
+        folder.rename(aside)
+        log.error("ledger-set-aside", why=str(error), to=str(aside))
+        store = Ledger(folder, told.most, told.sync)
+    with store:
+        yield store
 
 
 async def _signals(proxy: EdgeProxy, file: Path) -> None:
--- a/valverouter/days/loopback.py
+++ b/valverouter/days/loopback.py
@@ -43,12 +43,15 @@
         self._list_at = list_at
         self._cache = str(folder / f"e{place}.list")
         self._accounts = str(folder / f"e{place}.accounts")
+        self._ledger = str(folder / f"e{place}.ledger") if day.ledger else ""
         self._nursery = nursery
         self._process: trio.Process | None = None
 
     async def start(self) -> None:
         """Returns once it listens; EdgeFailedError when it does not."""
-        ini = self._day.edge_ini(self._place, self.address, self._list_at, self._cache, self._accounts)
+        ini = self._day.edge_ini(
+            self._place, self.address, self._list_at, self._cache, self._accounts, self._ledger
+        )
         self._ini.write_text(ini, "utf-8")
         self.starts += 1
         with trio.move_on_after(START_WITHIN_S):
--- a/valverouter/days/virtual.py
+++ b/valverouter/days/virtual.py
@@ -14,7 +14,9 @@
 import trio.testing
 
 from valverouter.days.world import World
+from valverouter.edge.keeping import edge_proxy
 from valverouter.edge.proxy import EdgeProxy
+from valverouter.recovery.course import Moment, Record
 from valverouter.signalling.tap import Row
 from valverouter.terms.day import Day
 
@@ -141,6 +143,9 @@
     def wall(self) -> int:
         return EPOCH + round(trio.current_time() * 1e9)
 
+    def moment(self) -> Moment:
+        return Moment(self.wall(), round(trio.current_time() * 1e9), "memory")
+
     async def connect(self, address: str) -> trio.abc.Stream:
         return await self._place.connect(address)
 
@@ -174,6 +179,43 @@
         self._runs.set()
 
 
+class MemoryStore:
+    """What an edge proxy's ledger is in virtual time: committed records outlive it, others do not."""
+
+    def __init__(self) -> None:
+        self.epoch = 0
+        self.kept: dict[str, Record] = {}
+        self.fails = False
+        self._puts: dict[str, Record | None] = {}
+
+    def begin_epoch(self, least: int = 0) -> int:
+        self._puts.clear()
+        self.epoch = max(least, self.epoch + 1)
+        return self.epoch
+
+    def records(self) -> list[Record]:
+        return list(self.kept.values())
+
+    def put(self, record: Record) -> None:
+        self._puts[record.dialog] = record
+
+    def drop(self, dialog: str) -> None:
+        self._puts[dialog] = None
+
+    def commit(self) -> int:
+        puts, self._puts = self._puts, {}
+        if puts and self.fails:
+            raise OSError("no space left")
+        self.kept |= {dialog: record for dialog, record in puts.items() if record is not None}
+        for dialog in [dialog for dialog, record in puts.items() if record is None]:
+            self.kept.pop(dialog, None)
+        return len(puts)
+
+    def void(self) -> None:
+        self._puts.clear()
+        self.kept.clear()
+
+
 class MemoryEdge:
     """An edge proxy as a task; killing it drops all that it holds, as an ended process does."""
 
@@ -181,6 +223,7 @@
         self, day: Day, place: int, network: MemoryPlace, nursery: trio.Nursery, list_at: str
     ) -> None:
         self.address = f"edge{place}:1"
+        self.store = MemoryStore() if day.ledger else None
         self.terms = day.edge_terms(place, self.address, list_at, f"list-{place}", f"accounts-{place}")
         self.proxy: EdgeProxy | None = None
         self._network = network
@@ -194,7 +237,7 @@
     async def _run(self, task_status: trio.TaskStatus[EdgeProxy] = trio.TASK_STATUS_IGNORED) -> None:
         with trio.CancelScope() as self._scope:
             self._surroundings = MemorySurroundings(self._network)
-            self.proxy = EdgeProxy(self.terms, self._surroundings)
+            self.proxy = edge_proxy(self.terms, self._surroundings, self.store)
             await self.proxy.run(task_status)
 
     async def kill(self) -> None:
--- a/valverouter/edge/events.py
+++ b/valverouter/edge/events.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from valverouter.interface import ListScope, Outcome
+from valverouter.recovery.decide import Need
 from valverouter.signalling import setup
 from valverouter.signalling.greeting import Welcome
 from valverouter.signalling.serverlist import Row
@@ -77,6 +78,14 @@
     outcome: Outcome
 
 
+@dataclass(frozen=True, slots=True)
+class Mend:
+    """An alarm on a dialog of a former self, or of a caller that is away: its `need` has had its time."""
+
+    dialog_id: str
+    need: Need
+
+
 @dataclass(frozen=True, slots=True)
 class Reload:
     """Other terms, whole and checked; what can't change while running is told and left as it is.
@@ -94,4 +103,4 @@
     """Take no more dialogs, finish those that are here, end."""
 
 
-Event = FromCaller | CallerLost | FromServer | LinkUp | LinkDown | ListHeard | LegOver | Reload | Stop
+Event = FromCaller | CallerLost | FromServer | LinkUp | LinkDown | ListHeard | LegOver | Mend | Reload | Stop
--- a/valverouter/edge/links.py
+++ b/valverouter/edge/links.py
@@ -64,7 +64,9 @@
         inbox: Inbox,
         wait: Wait,
         departures: Departures | None = None,
+        epoch: int = 0,
     ) -> None:
+        self._epoch = epoch
         self.server = server
         self.address = address
         self.wanted = True
@@ -92,6 +94,16 @@
         """Whether the word that it went down was its last."""
         return self.ended or not self.wanted
 
+    def has_closed(self, key: tuple[str, int]) -> bool:
+        """Whether its closing word was read on this connection already, and waits to be handled: nothing more
+        may be sent of that leg."""
+        return self._session is not None and self._heard and key not in self._session.legs
+
+    @property
+    def resumes(self) -> bool:
+        """Whether the server there can be asked for legs of a former connection."""
+        return self._session is not None and self._session.version >= 2
+
     @property
     def takes(self) -> bool:
         """Whether a frame put now may still leave on a connection that is up or being made."""
@@ -176,7 +188,7 @@
         self._inbox.put(LinkDown(self, why, frozenset(legs) - unsent, unsent))
 
     async def _once(self) -> str:
-        hello = Hello((OLDEST, NEWEST), "edge", self._name)
+        hello = Hello((OLDEST, NEWEST), "edge", self._name, self._epoch)
         self._why = ""  # what was given up between two connections is not this one
         self._session = session = SetupSession(hello)
         self._outbox = outbox = Outbox(self._terms.waiting_bytes, self._departures)
--- a/valverouter/edge/listener.py
+++ b/valverouter/edge/listener.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+import msgspec
 import structlog
 import trio
 
@@ -40,6 +41,11 @@
         self._outbox = Outbox(terms.waiting_bytes, departures)
         self._scope = trio.CancelScope()
 
+    @property
+    def resumes(self) -> bool:
+        """Whether it was told that it may come back for its dialogs, and can."""
+        return self._welcome.epoch > 0 and self._session.version >= 2
+
     def send(self, message: Any) -> None:
         """Queues an answer; a caller that reads too slowly to take it loses its connection."""
         if self._scope.cancel_called:
@@ -100,11 +106,29 @@
                     if isinstance(message, Hello):
                         patience.deadline = float("inf")
                         self.name = message.name
-                        self.send(
-                            Welcome(self._session.version, self._welcome.name, self._welcome.incarnation)
-                        )
+                        self.send(msgspec.structs.replace(self._welcome, version=self._session.version))
                     elif isinstance(message, NotUnderstood):
                         self.send(message)
                     else:
                         self._inbox.put(FromCaller(self, message))
             self._session.end()
+
+
+class Absent(Caller):
+    """Stands in for a caller whose connection is gone and that may come back: what it is told goes nowhere,
+    and is told again when it asks."""
+
+    def __init__(self, name: str, back_by: int) -> None:
+        self.dialogs = set()
+        self.name = name
+        self.back_by = back_by
+
+    @property
+    def resumes(self) -> bool:
+        return True
+
+    def send(self, message: Any) -> None:
+        pass
+
+    def expire(self, dialog_id: str, leg: int) -> None:
+        pass
--- /dev/null
+++ b/valverouter/edge/owed.py
@@ -0,0 +1,198 @@
+"""What this instance owes, on record: moves each dialog's record as the edge proxy moves the dialog, and sees
+that a turn's records are committed before a turn's words leave.
+
+Which moves there are is `valverouter.recovery.course`'s, what a restart makes of them `decide`'s. A store
+that fails costs the records, never the calls: all of it is voided, since a record that was not moved on could
+let a second leg out after a kill; what is taken from then on is recorded again once the store takes it.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+import structlog
+
+from valverouter.interface import Outcome
+from valverouter.recovery import course
+from valverouter.recovery.course import Moment, Phase, Record
+from valverouter.recovery.decide import Decision, Need, at_start
+from valverouter.signalling import setup
+
+log = structlog.get_logger()
+
+SECOND = 1_000_000_000
+# A store that failed is tried again after so long.
+AGAIN = 10 * SECOND
+# Answers whose time has passed leave the store together, no oftener than this.
+SWEEP = SECOND
+# The server closed these itself, or they never ran; of all others the release time runs.
+CLOSED = frozenset(
+    (Outcome.FULL, Outcome.NO_AGENT, Outcome.UNREACHABLE, Outcome.FAULT, Outcome.LINE_BUSY, Outcome.NOT_SENT)
+)
+
+
+class Keeps(Protocol):
+    """The store that records go to."""
+
+    def begin_epoch(self, least: int = 0) -> int: ...
+
+    def records(self) -> Iterable[Any]:
+        """Records, and whatever stands for those that can't be read."""
+
+    def put(self, record: Record) -> None: ...
+
+    def drop(self, dialog: str) -> None: ...
+
+    def commit(self) -> int: ...
+
+    def void(self) -> None:
+        """Takes out all that it holds, pending changes too."""
+
+
+class Owed:
+    """The records of what is open, stands, or was answered within its time; each leaves with that."""
+
+    def __init__(self, store: Keeps, moment: Callable[[], Moment]) -> None:
+        self._store = store
+        self._moment = moment
+        self._records: dict[str, Record] = {}
+        # Answered dialogs by when their caller's time is over, kept until then in case it asks again.
+        self._answered: deque[tuple[int, str]] = deque()
+        self._swept_at = 0
+        self._fails_until = 0
+        # Wall seconds, so that an epoch after a store that was lost is later than those before it.
+        self.epoch = store.begin_epoch(moment().wall // SECOND)
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def record(self, dialog: str) -> Record | None:
+        return self._records.get(dialog)
+
+    # At the start
+
+    def found(self, release_wait: int) -> list[tuple[Record, Decision]]:
+        """What a former self left, taken over, with what each needs; what can't be read is told and void."""
+        now = self._moment()
+        kept: list[tuple[Record, Decision]] = []
+        for one in self._store.records():
+            if not isinstance(one, Record):
+                log.error("record-damaged", dialog=one.key, why=one.why)
+                self._store.drop(one.key)
+                continue
+            decision = at_start(one, now, release_wait)
+            if decision.need in (Need.FORGET, Need.LET_GO):
+                # Past its time; a leg that was out then was given up with the former self's connection.
+                self._store.drop(one.dialog)
+                continue
+            # Its time goes on from here by this boot's clock, with the least that may be left of it.
+            record = course.taken_over(one, self.epoch, now, decision.left)
+            self._put(record)
+            kept.append((record, decision))
+        return kept
+
+    # Moves
+
+    def took(self, asked: setup.Setup, caller: str, left: int, now: int) -> None:
+        if now < self._fails_until:
+            return
+        self._put(
+            Record(
+                asked.dialog,
+                caller,
+                asked.traffic_type,
+                asked.first_choice,
+                asked.called_number,
+                self._moment(),
+                left,
+                self.epoch,
+                was_cut=asked.was_cut,
+            )
+        )
+
+    def leg_out(self, dialog: str, leg: int, server: str, start: int) -> None:
+        if (record := self._records.get(dialog)) is not None:
+            now = self._moment()
+            if record.phase is Phase.LET_GO:
+                record = course.failed(record, now)  # the decisions have waited for the release time
+            self._put(course.leg_out(record, leg, server, start, now))
+
+    def let_go(self, dialog: str) -> None:
+        record = self._records.get(dialog)
+        if record is not None and record.phase in (Phase.OUT, Phase.LET_GO):
+            self._put(course.let_go(record, self._moment()))
+
+    def leg_over(self, dialog: str, outcome: Outcome) -> None:
+        record = self._records.get(dialog)
+        if record is None or record.phase not in (Phase.OUT, Phase.LET_GO):
+            return
+        if outcome in CLOSED:
+            self._put(course.failed(record, self._moment()))
+        elif record.phase is Phase.OUT:
+            self._put(course.let_go(record, self._moment()))
+
+    def stands(self, dialog: str) -> None:
+        if (record := self._records.get(dialog)) is not None and record.phase is Phase.OUT:
+            self._put(course.stands(record, self._moment()))
+
+    def answered(self, dialog: str, answer: str, span: int, deadline: int) -> None:
+        """Declined or aborted: on record until the caller's time is over."""
+        if (record := self._records.get(dialog)) is None:
+            return
+        now = self._moment()
+        if record.phase is Phase.OUT:
+            record = course.let_go(record, now)
+        self._put(course.answered(record, answer, span, now))
+        self._answered.append((deadline, dialog))
+
+    def expires(self, dialog: str, deadline: int) -> None:
+        """A former self's answer: kept until its caller's time is over."""
+        self._answered.append((deadline, dialog))
+
+    def over(self, dialog: str) -> None:
+        """The instance holds it no more: an answer stays until its time is over, all else leaves."""
+        if (record := self._records.get(dialog)) is not None and record.phase is not Phase.ANSWERED:
+            self.forget(dialog)
+
+    def forget(self, dialog: str) -> None:
+        """Nothing is owed: what stood is over, or its time has passed without an answer."""
+        if self._records.pop(dialog, None) is not None:
+            self._store.drop(dialog)
+
+    def _put(self, record: Record) -> None:
+        self._records[record.dialog] = record
+        self._store.put(record)
+
+    # The turn's end
+
+    def commit(self, now: int) -> None:
+        """Before a turn's words leave. After it they are on record, or nothing is."""
+        if now >= self._swept_at + SWEEP:
+            self._swept_at = now
+            self._sweep(now)
+        try:
+            self._store.commit()
+        except Exception as error:  # whatever a store raises, calls go on without it
+            self._failed(now, error)
+
+    def _sweep(self, now: int) -> None:
+        # Deadlines are nearly in order: one that is not waits behind the others, for as long as they do.
+        while self._answered and self._answered[0][0] <= now:
+            dialog = self._answered.popleft()[1]
+            record = self._records.get(dialog)
+            if record is not None and record.phase is Phase.ANSWERED:
+                self.forget(dialog)
+
+    def _failed(self, now: int, error: Exception) -> None:
+        self._fails_until = now + AGAIN
+        held = len(self._records)
+        self._records.clear()
+        self._answered.clear()
+        log.error("ledger-fails", why=str(error), without_record=held)
+        try:
+            self._store.void()
+        except Exception as worse:
+            # A start that reads it would go on from what is no longer so.
+            log.critical("ledger-stale", why=str(worse), do="remove the store before the next start")
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -45,6 +45,7 @@
 from valverouter.interface import (
     Abort,
     Alarm,
+    AttemptTerms,
     Command,
     Decline,
     Dialog,
@@ -95,6 +96,8 @@
     setup.NoAgent: Outcome.NO_AGENT,
     setup.Fault: Outcome.FAULT,
     setup.Cancelled: Outcome.CANCELLED,
+    # Of a former self's leg that nobody waits for any more.
+    setup.Unknown: Outcome.RESET,
 }
 
 log = structlog.get_logger()
@@ -143,6 +146,8 @@
         self.address = ""
         self.ended = trio.Event()
         self._surroundings = surroundings
+        # Told to peers: over 0 where what is taken here outlives a restart.
+        self._epoch = 0
         self._log = log.bind(edge=terms.name)
         self._clock = Clock(surroundings.wall())
         self.incarnation = self._clock.now()
@@ -204,6 +209,7 @@
             rows = await self._list.cached()
             if rows:
                 self._inbox.put_first(ListHeard(ListScope.CACHED, rows))
+            self._begins()
             nursery.start_soon(self._list.run)
             nursery.start_soon(self._list.keep)
             nursery.start_soon(self._inbox.ring)
@@ -289,6 +295,24 @@
         if self._former is not None and self.terms.returns:
             self._reload(Reload(self._former), back=True)
 
+    # What an instance does that keeps a ledger
+
+    def _begins(self) -> None:
+        """Before the first caller and the first word of the list."""
+
+    def _took(self, taken: Taken) -> None:
+        """A dialog is owed an answer from here on."""
+
+    def _leg_leaves(self, taken: Taken, server: str) -> None:
+        """Its leg is on the way to a server, and leaves with this turn's end at the earliest."""
+
+    def _before_departure(self, now: int) -> None:
+        """The end of a turn; nothing that it put out has left."""
+
+    def _number(self, dialog_id: str, leg: int) -> int:
+        """A leg's number as the decisions count it."""
+        return leg
+
     # What another protocol does its own way, beside what it does with callers and standing dialogs
 
     def _make_list(self) -> ListSource:
@@ -304,6 +328,7 @@
             self._inbox,
             self._wait,
             self._departures,
+            self._epoch,
         )
 
     @property
@@ -316,7 +341,7 @@
         return False
 
     async def _talk(self, stream: trio.abc.Stream) -> None:
-        welcome = Welcome(0, self.terms.name, self.incarnation)
+        welcome = Welcome(0, self.terms.name, self.incarnation, epoch=self._epoch)
         await Caller(stream, self.terms.links, self._inbox, welcome, self._departures).run()
 
     async def _serve(self, stream: trio.abc.Stream) -> None:
@@ -409,6 +434,7 @@
             if len(self._alarms) > self._alarms_most:
                 self._alarms.keep(lambda alarm: type(alarm) is not LegOver or self._is_out(alarm))
                 self._alarms_most = max(ALARMS_LOOKED_AT, 2 * len(self._alarms))
+            self._before_departure(now)
             self._departures.end()
             self._looked_at = now
             if self._stopping and (self._is_done or (stop_at or 0) <= self._looked_at):
@@ -496,20 +522,26 @@
             asked, caller, came_at + asked.no_answer, generation=self.generation
         )
         caller.dialogs.add(asked.dialog)
+        self._took(taken)
         if came_at + left <= self._now:
             self._answer(taken, setup.Aborted(asked.dialog, asked.leg, "no-time"))
             return
-        attempts = None
-        if self._attempts is not None:
-            attempts = self._attempts.of(
-                asked.traffic_type, asked.called_number, caller.name, asked.first_choice
-            )
-            if attempts is not None and attempts.no_answer:
-                left = min(left, attempts.no_answer)
+        attempts = self._attempts_of(asked, caller.name)
+        if attempts is not None and attempts.no_answer:
+            left = min(left, attempts.no_answer)
+        self._decides(asked, came_at + left, attempts)
+
+    def _attempts_of(self, asked: setup.Setup, caller: str) -> AttemptTerms | None:
+        if self._attempts is None:
+            return None
+        return self._attempts.of(asked.traffic_type, asked.called_number, caller, asked.first_choice)
+
+    def _decides(self, asked: setup.Setup, no_answer_at: int, attempts: AttemptTerms | None) -> None:
+        """Hands a dialog to the decisions."""
         dialog = Dialog(
             id=asked.dialog,
             traffic_type=asked.traffic_type,
-            no_answer_at=came_at + left,
+            no_answer_at=no_answer_at,
             first_choice=asked.first_choice,
             called_number=asked.called_number,
             was_cut=asked.was_cut,
@@ -546,7 +578,7 @@
         if link is None or taken.leg is None or taken.released:
             return
         taken.released = True
-        if (dialog_id, taken.leg) in link.legs:
+        if (key := (dialog_id, taken.leg)) in link.legs and not link.has_closed(key):
             link.send(setup.Release(dialog_id, taken.leg))
 
     def _answer(self, taken: Taken, message: setup.Declined | setup.Aborted | setup.Stands) -> None:
@@ -603,6 +635,7 @@
         key = (dialog_id, leg)
         message = msgspec.structs.replace(asked, leg=leg, no_answer=max(1, taken.deadline - now))
         link.set_up(key, message)
+        self._leg_leaves(taken, wish.server)
         self._alarms.set(wish.until, LegOver(dialog_id, leg, wish.server, Outcome.TIMED_OUT))
         self._log.debug("leg", dialog=dialog_id, leg=leg, server=wish.server)
 
@@ -617,6 +650,10 @@
         key = (dialog_id, leg)
         if key not in link.legs:
             return  # the link went down, or never took it: its end is in the inbox, and was not heard yet
+        if link.has_closed(key):
+            # So is its closing word. Cancelling what the session has closed raised, and with it went the
+            # dialog's answer.
+            return
         if link.withdraw(key):
             self._inbox.put(LegOver(dialog_id, leg, link.server, Outcome.UNREACHABLE))
             return
@@ -648,7 +685,7 @@
         self._end_leg(taken, over.outcome)
 
     def _teach(self, dialog_id: str, leg: int, server: str, outcome: Outcome) -> None:
-        result = LegResult(dialog_id, leg, server, outcome)
+        result = LegResult(dialog_id, self._number(dialog_id, leg), server, outcome)
         self._guarded("", self._driver.leg_result, result)
 
     def _end_leg(
@@ -670,7 +707,8 @@
         word = outcome.name.lower()
         self.tally.legs[word] += 1
         self._log.debug("leg-over", dialog=asked.dialog, leg=leg, server=server, outcome=word)
-        result = LegResult(asked.dialog, leg, server, outcome, asked_wait=asked_wait, report=report)
+        number = self._number(asked.dialog, leg)
+        result = LegResult(asked.dialog, number, server, outcome, asked_wait=asked_wait, report=report)
         heard = self._guarded(asked.dialog, self._driver.leg_result, result)
         if heard and said is not None:
             self._answer(taken, msgspec.structs.replace(said, leg=asked.leg, server=server, report=None))
@@ -821,7 +859,9 @@
             self._answer(taken, setup.Declined(dialog_id, taken.setup.leg, wish.come_back))
         elif isinstance(wish, Abort):
             self._answer(taken, setup.Aborted(dialog_id, taken.setup.leg, "failed"))
-        elif taken.leg == wish.leg and not taken.stands and taken.link is not None:
+        elif taken.leg is not None and not taken.stands and taken.link is not None:
+            if self._number(dialog_id, taken.leg) != wish.leg:
+                return
             self._let_go(taken, Outcome.CANCELLED)
 
 
--- a/valverouter/edge/surroundings.py
+++ b/valverouter/edge/surroundings.py
@@ -19,6 +19,8 @@
 
 import trio
 
+from valverouter.recovery.course import Moment
+
 READ = 64 * 1024
 # What accept says when this process or the machine has nothing left for another connection.
 SHORT = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS))
@@ -35,6 +37,9 @@
     def wall(self) -> int:
         """Wall time in ns since 1970: to date what a former self wrote, never to measure a span."""
 
+    def moment(self) -> Moment:
+        """Wall time and the monotonic clock of this boot, as records keep them over a restart."""
+
     async def connect(self, address: str) -> trio.abc.Stream:
         """A stream to a peer; OSError when there is none. The caller limits the wait."""
 
@@ -204,12 +209,20 @@
 class Sockets:
     """TCP on the machine. Delayed sending is off: set-ups are small and urgent."""
 
+    _boot = ""
+
     def __init__(self, silence: int = 0) -> None:
         self._silence = silence
+        # The monotonic clock counts from the boot that this names; without it only wall time is left.
+        with suppress(OSError):
+            self._boot = Path("/proc/sys/kernel/random/boot_id").read_text("ascii").strip()
 
     def wall(self) -> int:
         return time.time_ns()
 
+    def moment(self) -> Moment:
+        return Moment(time.time_ns(), time.monotonic_ns(), self._boot)
+
     async def connect(self, address: str) -> trio.abc.Stream:
         host, port = split(address)
         return PlainStream(await trio.open_tcp_stream(host, port), self._silence)
--- a/valverouter/ledger/store.py
+++ b/valverouter/ledger/store.py
@@ -118,10 +118,11 @@
             txn.put(key, str(value).encode())
         self._env.sync(True)
 
-    def begin_epoch(self) -> int:
-        """A later number than any former instance's, on disk before it is given."""
+    def begin_epoch(self, least: int = 0) -> int:
+        """A later number than any former instance's, and no smaller than `least`; on disk before it is
+        given."""
         with self._env.begin(db=self._meta) as txn:
-            epoch = int(txn.get(b"epoch") or 0) + 1
+            epoch = max(least, int(txn.get(b"epoch") or 0) + 1)
         self._write_meta(b"epoch", epoch)
         return epoch
 
@@ -159,6 +160,16 @@
             raise LedgerFullError(f"{self.path}: {type(error).__name__}: {error}") from error
         return len(puts)
 
+    def void(self) -> None:
+        """Takes out every entry; changes that wait are given up. LedgerFullError: the store is as it was."""
+        self._puts = {}
+        try:
+            with self._env.begin(write=True) as txn:
+                for table in (self._dialogs, self._servers):
+                    txn.drop(table, delete=False)
+        except (lmdb.Error, OSError) as error:
+            raise LedgerFullError(f"{self.path}: {type(error).__name__}: {error}") from error
+
     # Reading back
 
     def records(self) -> Iterator[Record | Damaged]:
--- a/valverouter/recovery/course.py
+++ b/valverouter/recovery/course.py
@@ -59,6 +59,7 @@
     moved: Moment | None = None
     answer: str = ""
     span: int = 0
+    was_cut: bool = False
 
 
 class OutOfOrderError(RuntimeError):
@@ -101,11 +102,14 @@
     return msgspec.structs.replace(record, phase=Phase.ANSWERED, answer=answer, span=span, moved=now)
 
 
-def taken_over(record: Record, epoch: int) -> Record:
-    """A later instance goes on with it; a former self that still runs is fenced off by the epoch."""
+def taken_over(record: Record, epoch: int, now: Moment | None = None, left: int = 0) -> Record:
+    """A later instance goes on with it; a former self that still runs is fenced off by the epoch. With `now`:
+    the time that is left is reckoned from there on."""
     if epoch <= record.epoch:
         raise OutOfOrderError(f"{record.dialog}: epoch {epoch} after {record.epoch}")
-    return msgspec.structs.replace(record, epoch=epoch)
+    if now is None:
+        return msgspec.structs.replace(record, epoch=epoch)
+    return msgspec.structs.replace(record, epoch=epoch, taken=now, no_answer=left)
 
 
 def _from(record: Record, *phases: Phase) -> None:
--- a/valverouter/recovery/decide.py
+++ b/valverouter/recovery/decide.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, auto
 
+from valverouter.interface import AttemptTerms
 from valverouter.recovery.course import Moment, Phase, Record, passed
 
 
@@ -94,3 +95,16 @@
             return Decision(Need.LET_GO if same_start else Need.WAIT, left, release_wait)
         case Word.SILENT:
             return Decision(Need.LET_GO, left, release_wait)
+
+
+def attempts_left(terms: AttemptTerms, used: int, allowed: int) -> AttemptTerms | None:
+    """The terms of a dialog that goes on after `used` legs of a former self; None: none is left to it.
+
+    Which of those were attempts and which went on from a server without a free agent is not on record: each
+    counts as both, so that no restart lets out more legs than the fleet allows a dialog.
+    """
+    legs = terms.legs - used
+    in_all = min(terms.legs_in_all or allowed, allowed) - used
+    if legs <= 0 or in_all <= 0:
+        return None
+    return replace(terms, legs=legs, legs_in_all=in_all) if used else terms
--- a/valverouter/signalling/greeting.py
+++ b/valverouter/signalling/greeting.py
@@ -16,29 +16,34 @@
 
 from valverouter.signalling.framing import FrameReader, ProtocolError, frame
 
-OLDEST, NEWEST = 1, 1
+OLDEST, NEWEST = 1, 2
 
 Name = Annotated[str, Meta(min_length=1, max_length=128)]
 Text = Annotated[str, Meta(max_length=512)]
 Count = Annotated[int, Meta(ge=0)]
 
 
-class Hello(Struct, tag_field="t", tag="hello", frozen=True):
-    """First from the side that connects. `speaks`: oldest and newest version. `role`: caller, edge."""
+class Hello(Struct, tag_field="t", tag="hello", frozen=True, omit_defaults=True):
+    """First from the side that connects. `speaks`: oldest and newest version. `role`: caller, edge.
+
+    `epoch` (version 2): grows with each start of an edge proxy that keeps a ledger, 0: it keeps none.
+    """
 
     speaks: tuple[int, int]
     role: Name
     name: Name
+    epoch: Count = 0
 
 
 class Welcome(Struct, tag_field="t", tag="welcome", frozen=True, omit_defaults=True):
     """The answer to a Hello. `incarnation` grows with each start of the process; `age` in ns since that
-    start."""
+    start. `epoch` (version 2): over 0 where what was taken here may be resumed after a break."""
 
     version: int
     name: Name
     incarnation: int = 0
     age: Count = 0
+    epoch: Count = 0
 
 
 class Error(Struct, tag_field="t", tag="error", frozen=True):
--- a/valverouter/signalling/setup.py
+++ b/valverouter/signalling/setup.py
@@ -57,6 +57,16 @@
     """The asking side ends a dialog that stands; answered with Ended."""
 
 
+class Resume(OfLeg, tag_field="t", tag="resume", frozen=True):
+    """Version 2. The asking side had this leg open here, or standing, on a connection that is gone: what of
+    it? Answered with the state it is in (Provisional, Stands), with its final answer again, or Unknown."""
+
+
+class Kept(OfLeg, tag_field="t", tag="kept", frozen=True):
+    """Version 2, to a server. That this leg stands is on record at the asking side: it outlives the
+    connection for a while, to be resumed."""
+
+
 class Provisional(OfLeg, tag_field="t", tag="provisional", frozen=True):
     """Taken and under way. From an edge proxy to its caller: from here on a final answer is owed."""
 
@@ -119,6 +129,10 @@
     reason: Name = "failed"
 
 
+class Unknown(OfLeg, tag_field="t", tag="unknown", frozen=True):
+    """Version 2. Closes a leg that was to be resumed: nothing of it is here, and nothing will come of it."""
+
+
 class Reported(Struct, tag_field="t", tag="reported", frozen=True):
     """A server's report, unasked."""
 
@@ -129,16 +143,19 @@
     """Where a leg is, as the messages that passed here show it."""
 
     OPEN = auto()
+    RESUMED = auto()
     STANDS = auto()
     LEAVING = auto()
 
 
-ASKS = frozenset((Setup, Cancel, Release))
-SERVER_CLOSES = frozenset((Ended, LineBusy, Full, NoAgent, Fault, Cancelled))
-EDGE_CLOSES = frozenset((Ended, Declined, Aborted))
+ASKS = frozenset((Setup, Cancel, Release, Resume, Kept))
+SERVER_CLOSES = frozenset((Ended, LineBusy, Full, NoAgent, Fault, Cancelled, Unknown))
+EDGE_CLOSES = frozenset((Ended, Declined, Aborted, Unknown))
+# Since which version, where not since the first.
+SINCE_SECOND = frozenset((Resume, Kept, Unknown))
 KINDS = (
     *(Setup, Cancel, Release, Provisional, Stands, Ended, LineBusy, Full, NoAgent, Fault, Cancelled),
-    *(Declined, Aborted, Reported),
+    *(Declined, Aborted, Reported, Resume, Kept, Unknown),
 )
 
 
@@ -178,25 +195,27 @@
         kind = type(message)
         if (kind in ASKS) != from_asking:
             raise ProtocolError("out-of-state", f"{kind.__name__} comes from the other side only")
+        if kind in SINCE_SECOND and self.version < 2:
+            raise ProtocolError("out-of-state", f"{kind.__name__} is not in version {self.version}")
         if kind is Reported:
             if self._by_caller:
                 raise ProtocolError("out-of-state", "reports are for edge proxies")
             return
         key = (message.dialog, message.leg)
         phase = self.legs.get(key)
-        if kind is Setup:
+        if kind is Setup or kind is Resume:
             if phase is not None:
                 raise ProtocolError("out-of-state", f"leg {key} is open already")
             if len(self.legs) >= self.open_most:
                 raise ProtocolError("too-many", f"{self.open_most} legs are open on this connection")
-            self.legs[key] = Phase.OPEN
+            self.legs[key] = Phase.OPEN if kind is Setup else Phase.RESUMED
         elif from_asking:
             if phase is None:
                 if ours:
                     raise ProtocolError("out-of-state", f"{kind.__name__} for {key}, which is not open")
-            elif kind is Release and phase is Phase.OPEN:
-                raise ProtocolError("out-of-state", f"Release for {key}, which does not stand")
-            elif self.asking:
+            elif kind in (Release, Kept) and phase in (Phase.OPEN, Phase.RESUMED):
+                raise ProtocolError("out-of-state", f"{kind.__name__} for {key}, which does not stand")
+            elif self.asking and kind is not Kept:
                 # The serving side keeps the phase: whether the leg stood decides between Ended and Cancelled.
                 self.legs[key] = Phase.LEAVING
         elif phase is None:
@@ -204,16 +223,20 @@
         elif kind is Provisional:
             if phase is Phase.STANDS:
                 raise ProtocolError("out-of-state", f"Provisional for {key}, which stands")
+            if phase is Phase.RESUMED:
+                self.legs[key] = Phase.OPEN
         elif kind is Stands:
             if phase is Phase.STANDS:
                 raise ProtocolError("out-of-state", f"{key} stands already")
-            if phase is Phase.OPEN:
+            if phase is not Phase.LEAVING:
                 self.legs[key] = Phase.STANDS
         else:
             closes = EDGE_CLOSES if self._by_caller else SERVER_CLOSES
             if kind not in closes:
                 raise ProtocolError("out-of-state", f"{kind.__name__} is not used on this hop")
-            if kind is Ended and phase is Phase.OPEN:
+            if kind is Unknown and phase not in (Phase.RESUMED, Phase.LEAVING):
+                raise ProtocolError("out-of-state", f"Unknown for {key}, which was not to be resumed")
+            if kind is Ended and phase in (Phase.OPEN, Phase.RESUMED):
                 raise ProtocolError("out-of-state", f"Ended for {key}, which does not stand")
             if kind is not Ended and phase is Phase.STANDS:
                 raise ProtocolError("out-of-state", f"{kind.__name__} for {key}, which stands")
--- a/valverouter/standins/callers.py
+++ b/valverouter/standins/callers.py
@@ -33,6 +33,8 @@
     first: str
     tries: int
     stands: bool = False
+    # Its caller has given up: told again where the first word may have been lost with a connection.
+    left: bool = False
 
 
 @dataclass(slots=True)
@@ -50,6 +52,8 @@
     wire: Wire | None = None
     on_wire: Callable[[Wire], None] = lambda wire: None
     ready: bool = False
+    # Whether the edge proxy keeps what it takes over a break: then it is asked what became of it.
+    resumes: bool = False
     unreached: int = 0
     _serial: int = 0
 
@@ -65,10 +69,23 @@
             self.on_wire(self.wire)
             await self.wire.run()
             self.wire, self.ready = None, False
-            for dialog_id in list(self.tries):
-                self._over(dialog_id, come_again=True)
+            if not self.resumes:
+                self._lose()
             await trio.sleep(0.05)
 
+    def _lose(self) -> None:
+        for dialog_id in list(self.tries):
+            self._over(dialog_id, come_again=True)
+
+    def _greeted(self, wire: Wire, welcome: Welcome) -> None:
+        self.ready, self.resumes = True, welcome.epoch > 0
+        if not self.resumes:
+            self._lose()
+        for dialog_id, made in self.tries.items():
+            wire.send(setup.Resume(dialog_id), delayed=False)
+            if made.left:
+                wire.send(setup.Cancel(dialog_id), delayed=False)
+
     def dial(self, asked: setup.Setup, first: str = "", tries: int = 1) -> str:
         """One try, now. The id is new; `first` names the first try that it belongs to."""
         self._serial += 1
@@ -96,7 +113,10 @@
     def hang_up(self, dialog_id: str) -> None:
         """The caller leaves: cancels what is under way, releases what stands."""
         made = self.tries.get(dialog_id)
-        if made is None or self.wire is None:
+        if made is None:
+            return
+        made.left = made.left or not made.stands
+        if self.wire is None or not self.ready:
             return
         self.wire.send(setup.Release(dialog_id) if made.stands else setup.Cancel(dialog_id), delayed=False)
 
@@ -112,7 +132,7 @@
 
     def _heard(self, wire: Wire, message: Any) -> None:
         if isinstance(message, Welcome):
-            self.ready = True
+            self._greeted(wire, message)
         made = self.tries.get(getattr(message, "dialog", ""))
         if made is None:
             return
@@ -125,6 +145,8 @@
             self._over(message.dialog, come_again=True)
         elif isinstance(message, setup.Ended):
             self._over(message.dialog, come_again=message.reason == "cut")
+        elif isinstance(message, setup.Unknown):
+            self._over(message.dialog, come_again=True)
 
     def _over(self, dialog_id: str, come_again: bool, least: int = 0) -> None:
         made = self.tries.pop(dialog_id)
--- a/valverouter/terms/day.py
+++ b/valverouter/terms/day.py
@@ -11,7 +11,7 @@
 from msgspec import Meta, Struct
 
 from valverouter.terms.calls import Call, read_calls
-from valverouter.terms.edge import EdgeTerms, Fleet, Links, Traffic, edge_terms, traffic_types
+from valverouter.terms.edge import EdgeTerms, Fleet, LedgerTerms, Links, Traffic, edge_terms, traffic_types
 from valverouter.terms.ini import IniFile, LongSpan, PerSecond, Positive, Rate, Share, Span, Whole, Words
 
 MS, SECOND = 10**6, 10**9
@@ -160,8 +160,12 @@
     shared: str
     # The calls of a record by edge proxy, in order, from the day's beginning on; None: callers call by rate.
     recorded: dict[int, list[Call]] | None = None
+    # Whether the edge proxies keep what they owe over a restart: [ledger], without a folder of its own.
+    ledger: bool = False
 
-    def edge_ini(self, place: int, listen: str, list_service: str, cache: str, accounts: str = "") -> str:
+    def edge_ini(
+        self, place: int, listen: str, list_service: str, cache: str, accounts: str = "", ledger: str = ""
+    ) -> str:
         """The file that edge proxy number `place` of this day is started with."""
         own = {
             "name": f"e{place}",
@@ -175,7 +179,8 @@
             "list_cache": cache,
         }
         rows = [f"{key} = {value}" for key, value in own.items() if value]
-        return "\n".join(["[edge]", *rows, "", self.shared])
+        shared = self.shared.replace("[ledger]", f"[ledger]\nfolder = {ledger}") if ledger else self.shared
+        return "\n".join(["[edge]", *rows, "", shared])
 
     def edge_terms(
         self, place: int, listen: str, list_service: str, cache: str = "", accounts: str = ""
@@ -215,7 +220,7 @@
 def day(ini: IniFile, name: str) -> Day:
     """The day; raises FlawedTermsError with every flaw of the file."""
     ini.only(
-        ("day", "fleet", "links", "delays", "servers", "callers", "list", "crossing"),
+        ("day", "fleet", "links", "delays", "servers", "callers", "list", "ledger", "crossing"),
         ("traffic", "mix", "region", "trouble", "crossing", "attempts"),
     )
     terms = ini.read("day", DayTerms)
@@ -225,6 +230,8 @@
     servers = ini.read("servers", Servers, required=False)
     callers = ini.read("callers", Callers)
     list_terms = ini.read("list", ListTerms, required=False)
+    if ini.read("ledger", LedgerTerms, required=False) and "folder" in ini.sections.get("ledger", {}):
+        ini.flaw("ledger", "folder", "each edge proxy of a day has a folder of its own")
     traffic = traffic_types(ini)
     mix = {one: ini.read(f"mix {one}", Mix) for one in ini.named("mix")}
     regions = {one: ini.read(f"region {one}", Region) for one in ini.named("region")}
@@ -261,6 +268,7 @@
         troubles={one: trouble for one, trouble in troubles.items() if trouble},
         shared=_shared(ini),
         recorded=recorded,
+        ledger="ledger" in ini.sections,
     )
 
 
@@ -311,7 +319,7 @@
     """The sections that each edge proxy's own file takes over word for word."""
     out = []
     for section, keys in ini.sections.items():
-        if section in ("fleet", "links", "crossing") or section.startswith(
+        if section in ("fleet", "links", "ledger", "crossing") or section.startswith(
             ("traffic ", "crossing ", "attempts ")
         ):
             out += [f"[{section}]", *(f"{key} = {text}" for key, text in keys.items()), ""]
