The ledger's cost measured and cut, ends told to callers that were away, restarts on the emulator

Checked with a profile: records written out at each move, live bytes counted at each commit, a moment read for each move. What ended while its caller was away is told when it is back; it was told that nothing is known, and would have dialled again.

--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -1,11 +1,12 @@
 """How many dialogs a second one edge proxy on one core sets up on loopback, and what it adds to each.
 
-    python benchmarks/edge.py [--seconds 5] [--rounds 3] [--profile] [--long 600]
+    python benchmarks/edge.py [--seconds 5] [--rounds 3] [--profile] [--long 600] [--ledgers]
 
 Beside the edge proxy, in the same run and alternating with it, a bare trio relay of the same messages is
 measured. Callers and servers are processes of their own on blocking sockets, so that neither is what limits.
 Closed loop for the rate; open loop at half the edge's rate for the delays, from the moment when each dialog
-was due to be sent, so that a slow answer does not hide those behind it.
+was due to be sent, so that a slow answer does not hide those behind it. With --ledgers no relay: edge proxies
+without a ledger, with one, and with one that waits for the disk, alternating in one run.
 """
 
 from __future__ import annotations
@@ -29,9 +30,11 @@
 import trio
 from hdrh.histogram import HdrHistogram
 
+from valverouter.edge.keeping import edge_proxy
 from valverouter.edge.logs import set_up
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import Sockets, long_lived
+from valverouter.ledger.store import Ledger
 from valverouter.signalling import setup
 from valverouter.signalling.framing import FrameReader, frame
 from valverouter.signalling.greeting import Hello, Welcome
@@ -181,13 +184,14 @@
         threading.Thread(target=one, args=(conn,), daemon=True).start()
 
 
-def edge(port: int, told: Any, profile: str) -> None:
+def edge(port: int, told: Any, profile: str, folder: str = "", sync: str = "none") -> None:
     terms = edge_terms(IniFile(INI.format(port=port), "bench"))
     set_up(terms.log)
+    store = Ledger(Path(folder), sync=sync) if folder else None
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
-            proxy: EdgeProxy = await nursery.start(EdgeProxy(terms, Sockets()).run)
+            proxy: EdgeProxy = await nursery.start(edge_proxy(terms, Sockets(), store).run)
             long_lived()
             told.put(proxy.address)
             with trio.open_signal_receiver(15) as signals:
@@ -309,12 +313,52 @@
     return "  ".join(f"p{p:g} {histogram.get_value_at_percentile(p) / 1000:.2f} ms" for p in (50, 99, 99.9))
 
 
+def ledgers(list_port: int, seconds: float, rounds: int) -> None:
+    """Rates, and delays at half of the rate without a ledger, of edge proxies with and without one."""
+    told: Any = mp.Queue()
+    with tempfile.TemporaryDirectory() as folder:
+        started: dict[str, tuple[str, mp.Process]] = {}
+        for name in ("without", "none", "each"):
+            at = "" if name == "without" else f"{folder}/{name}"
+            process = mp.Process(
+                target=edge, args=(list_port, told, "", at, "each" if name == "each" else "none")
+            )
+            process.start()
+            started[name] = told.get(), process
+        time.sleep(0.5)
+        for address, _ in started.values():
+            load(address, 1)
+        rates: dict[str, list[float]] = {name: [] for name in started}
+        for _ in range(rounds):
+            for name, (address, _) in started.items():
+                rates[name].append(load(address, seconds)[0])
+            print(
+                "closed loop: " + ", ".join(f"{name} {rate[-1]:.0f}/s" for name, rate in rates.items()),
+                flush=True,
+            )
+        for name in ("none", "each"):
+            ratios = sorted(a / b for a, b in zip(rates[name], rates["without"], strict=True))
+            print(f"{name} against without: {ratios[0]:.2f} to {ratios[-1]:.2f}")
+        half = statistics.median(rates["without"]) / 2
+        for _ in range(rounds):
+            for name, (address, _) in started.items():
+                _, away, histogram = load(address, seconds, half)
+                size = sum(file.stat().st_blocks * 512 for file in Path(folder, name).glob("*.mdb")) // 1024
+                print(
+                    f"open loop at {half:.0f}/s, {name}: {shown(histogram)}, {away:.1%} away, {size} KiB kept"
+                )
+        for _, process in started.values():
+            process.terminate()
+            process.join()
+
+
 def main() -> None:
     parser = argparse.ArgumentParser()
     parser.add_argument("--seconds", type=float, default=5)
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--profile", action="store_true")
     parser.add_argument("--long", type=float, default=0, help="seconds of the memory run; 0: none")
+    parser.add_argument("--ledgers", action="store_true")
     options = parser.parse_args()
     mp.set_start_method("fork")
     sockets = [listening() for _ in range(SERVERS)]
@@ -328,6 +372,9 @@
     lists = listening()
     service = mp.Process(target=list_service, args=(lists, rows), daemon=True)
     service.start()
+    if options.ledgers:
+        ledgers(lists.getsockname()[1], options.seconds, options.rounds)
+        return
     told: Any = mp.Queue()
     with tempfile.TemporaryDirectory() as folder:
         profile = str(Path(folder) / "edge.prof") if options.profile else ""
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -1,10 +1,12 @@
 """Kills of edge proxies under load, and whether the audit accounts for every dialog.
 
-    python benchmarks/restarts.py [--virtual 1000] [--loopback 60] [--jobs 6]
+    python benchmarks/restarts.py [--virtual 1000] [--loopback 60] [--fleet 8] [--jobs 6]
 
 `--virtual N`: N days of 4 s in virtual time, six kills each, with a ledger and without. `--loopback N`: one
 day on sockets in which edge proxies get SIGKILL N times at drawn moments. Printed: kills, how often callers
-came back for a dialog, broken rules, service.
+came back for a dialog, broken rules, service. `--fleet N`: N seeds of 200 and of 4 edge proxies on the
+emulator, a part of them killed at once: without a ledger, with one, and with one that asks servers for all
+that stood at once.
 """
 
 from __future__ import annotations
@@ -21,12 +23,17 @@
 
 from valverouter.audit.account import account, service
 from valverouter.audit.rules import audit
+from valverouter.days.emulated import run_emulated
 from valverouter.days.loopback import run_loopback
 from valverouter.days.virtual import run_virtual
+from valverouter.emulator import edges
+from valverouter.experiments.figures import figures
+from valverouter.recovery.pace import Pace
 from valverouter.terms.day import Day, day
 from valverouter.terms.ini import IniFile
 
 DAY = Path(__file__).parent.parent / "deploy" / "days" / "bad-day.ini"
+FLEET = Path(__file__).parent.parent / "deploy" / "experiments" / "size-day.ini"
 TROUBLES = (
     "",
     "[trouble s]\nkind = slow\nstart = 1s\nlength = 3s\nsize = 4\non = s0, s1\n",
@@ -98,12 +105,60 @@
             print(" ", breach)
 
 
+class AtOnce(Pace):
+    """Asks for everything as soon as it may."""
+
+    def next(self, now: int) -> list[tuple[str, str]]:
+        found = [(entry[3], name) for name, one in self._servers.items() for entry in sorted(one.waiting)]
+        for one in self._servers.values():
+            one.out += len(one.waiting)
+            one.waiting.clear()
+        return found
+
+
+def fleet_day(seed: int, size: int, share: float, ledger: bool) -> Day:
+    text = FLEET.read_text().replace("seed = 1\n", f"seed = {seed}\n").replace("= 64", f"= {size}")
+    text = text[: text.index("[trouble ")] if "[trouble " in text else text
+    text += f"[trouble k]\nkind = balancer_crash\nstart = 10s\nlength = 1s\npart = {share}\n"
+    return day(IniFile(text + ("[ledger]\n" if ledger else ""), "fleet"), "fleet")
+
+
+def fleet_one(job: tuple[int, int, float]) -> list[tuple[float, float, int]]:
+    seed, size, share = job
+    found = []
+    for mode in ("without", "paced", "at once"):
+        edges.Pace = AtOnce if mode == "at once" else Pace  # type: ignore[attr-defined]
+        played = fleet_day(seed, size, share, mode != "without")
+        rows = run_emulated(played).rows
+        seen = figures(rows)
+        found.append((seen["service"], seen["worst-10s"], len(audit(rows).breaches)))
+    return found
+
+
+def fleet(seeds: int, jobs: int) -> None:
+    for size, share in ((200, 0.1), (200, 0.4), (200, 0.7), (4, 0.5)):
+        with multiprocessing.Pool(jobs) as pool:
+            results = pool.map(fleet_one, [(seed, size, share) for seed in range(1, seeds + 1)], chunksize=1)
+        for at, mode in enumerate(("without", "paced", "at once")):
+            rows = [result[at] for result in results]
+            said = f"service {statistics.mean(row[0] for row in rows):.4f}, worst 10 s "
+            said += f"{statistics.mean(row[1] for row in rows):.4f}, {sum(row[2] for row in rows)} breaches"
+            if at:
+                gaps = [result[at][0] - result[0][0] for result in results]
+                error = statistics.stdev(gaps) / len(gaps) ** 0.5
+                said += f", {statistics.mean(gaps):+.4f} ({error:.4f}) to without"
+            print(f"{share:.0%} of {size} killed, {mode}: {said}", flush=True)
+
+
 def main() -> None:
     parser = argparse.ArgumentParser()
     parser.add_argument("--virtual", type=int, default=0)
     parser.add_argument("--loopback", type=int, default=0)
     parser.add_argument("--jobs", type=int, default=6)
+    parser.add_argument("--fleet", type=int, default=0)
     options = parser.parse_args()
+    if options.fleet:
+        fleet(options.fleet, options.jobs)
     if options.virtual:
         virtual(options.virtual, options.jobs)
     if options.loopback:
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -18,11 +18,13 @@
 from tests.rig import MS, SECOND, Peer, Rig, dial, rigged
 from valverouter.audit.account import account, service
 from valverouter.audit.rules import Verdict, audit
+from valverouter.days.emulated import plans, run_emulated
 from valverouter.days.loopback import run_loopback
 from valverouter.days.virtual import MemoryEdge, MemoryStore, MemorySurroundings, run_virtual
 from valverouter.days.world import World
 from valverouter.edge.keeping import KeepingProxy
 from valverouter.edge.owed import Owed
+from valverouter.emulator.fleet import Fleet
 from valverouter.interface import AttemptTerms, Outcome
 from valverouter.ledger.store import Ledger
 from valverouter.recovery.course import Moment, Phase, Record
@@ -276,6 +278,28 @@
         assert link.all(setup.Release) == [setup.Release("d1", leg.leg)], "it did not come back in time"
 
 
+@pytest.mark.parametrize("reason", ["over", "cut"])
+async def test_an_end_while_its_caller_is_away_is_told_when_it_is_back(
+    reason: str, autojump_clock: MockClock
+) -> None:
+    async with kept() as rig:
+        caller = await rig.caller()
+        await caller.send(dial())
+        link, leg = await leg_at(rig)
+        await link.send(setup.Stands("d1", leg.leg))
+        await caller.next(setup.Stands)
+        await caller.cut()
+        await trio.sleep(0.05)
+        await link.send(setup.Ended("d1", leg.leg, reason))
+        await trio.sleep(0.05)
+        back = await rig.caller()
+        await back.send(setup.Resume("d1"))
+        await back.next(setup.Stands)
+        assert (await back.next(setup.Ended)).reason == reason
+        await trio.sleep(0.1)
+        assert not rig.store.kept and not rig.edge._dialogs
+
+
 @pytest.mark.parametrize(
     "moved, boot, known",
     [(0, "memory", True), (-60 * SECOND, "memory", True), (-60 * SECOND, "other", False), (0, "other", True)],
@@ -509,6 +533,30 @@
         assert (tmp_path / f"e{place}.ledger" / "data.mdb").exists()
 
 
+def test_the_emulator_takes_over_as_the_program_does() -> None:
+    served: dict[str, list[float]] = {"emulated": [], "program": [], "without": []}
+    for seed in range(30, 38):
+        played = killed(seed, 6, more=SLOW)
+        for name, rows in (("emulated", run_emulated(played).rows), ("program", run_virtual(played))):
+            assert accounted(rows).resumed > 10
+            served[name].append(service(account(rows), played.importance))
+        without = killed(seed, 6, more=SLOW, ledger=False)
+        served["without"].append(service(account(run_emulated(without).rows), without.importance))
+    means = {name: sum(one) / len(one) for name, one in served.items()}
+    assert abs(means["emulated"] - means["program"]) < 0.04
+    assert means["emulated"] > means["without"] + 0.01
+
+
+def test_an_emulated_edge_proxy_and_its_servers_keep_nothing_that_has_ended() -> None:
+    played = killed(3, 6)
+    fleet = Fleet(played, plans(played))
+    fleet.run()
+    fleet.sim.run(fleet.sim.now() + 120 * SECOND)
+    for edge in fleet.edges:
+        assert not edge._dialogs and not edge._left and not len(edge._pace)
+    assert not any(server.kept for server in fleet.servers.values())
+
+
 # The store
 
 
@@ -525,6 +573,20 @@
         assert store.begin_epoch(1_000) == 1_000 and store.begin_epoch(5) == 1_001
 
 
+def test_damaged_records_cost_themselves_alone(tmp_path: Path) -> None:
+    moment = Moment(1, 1, "b")
+    with Ledger(tmp_path / "store") as store:
+        store.put(Record("sound", "c0", "plain", 0, 0, moment, SECOND, 0))
+        store.commit()
+        with store._env.begin(write=True, db=store._dialogs) as txn:
+            txn.put(b"d\xff", b"no checksum fits this")
+        owed = Owed(store, lambda: moment)
+        assert [record.dialog for record, _ in owed.found(300 * MS)] == ["sound"]
+        owed.commit(0)
+        assert [one.dialog for one in store.records() if isinstance(one, Record)] == ["sound"]
+        assert not list(store.repair()) and len(owed) == 1
+
+
 def test_a_record_of_a_release_time_counts_as_let_go() -> None:
     store = MemoryStore()
     owed = Owed(store, lambda: Moment(1, 1, "b"))
--- a/valverouter/days/emulated.py
+++ b/valverouter/days/emulated.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from valverouter.driver import Driver
-from valverouter.edge.attempting import AttemptBook
+from valverouter.edge.attempting import AttemptBook, own_terms
 from valverouter.emulator.edges import EdgePlan
 from valverouter.emulator.fleet import Emulated, Fleet
 from valverouter.interface import CrossingRule, Deployment
@@ -22,7 +22,8 @@
 
 def _plan(day: Day, place: int, decisions: Decisions) -> EdgePlan:
     terms = day.edge_terms(place, "edge:1", "list:1")
-    crossing = terms.crossing
+    crossing, deployment = terms.crossing, terms.deployment
+    types = deployment.traffic_types
     return EdgePlan(
         place=place,
         region=day.region_of_edge(place),
@@ -32,6 +33,8 @@
         crossing=lambda now: Crossing(crossing, now) if crossing is not None else None,
         attempts=AttemptBook(terms) if terms.attempts else None,
         decisions=decisions,
+        ledger=day.ledger,
+        usual=lambda kind: own_terms(deployment, types[kind].objective) if kind in types else None,
     )
 
 
--- a/valverouter/edge/keeping.py
+++ b/valverouter/edge/keeping.py
@@ -44,6 +44,8 @@
         self._owed = Owed(store, surroundings.moment)
         # What a former self's dialogs wait for before their course goes on.
         self._needs: dict[str, Need] = {}
+        # How what stood ended while its caller was away; leaves with the dialog.
+        self._ends: dict[str, str] = {}
         # By such a dialog, how many legs the former self had numbered. Emptied by alarms past its time.
         self._numbered: dict[str, int] = {}
         self._pace = Pace()
@@ -103,6 +105,15 @@
         super()._forget(taken)
         self._owed.over(taken.setup.dialog)
         self._needs.pop(taken.setup.dialog, None)
+        self._ends.pop(taken.setup.dialog, None)
+
+    def _over(self, taken: Taken, reason: str) -> None:
+        if isinstance(taken.caller, Absent) and reason != "released":
+            # Its caller hears so when it comes back: told that nothing is known of it, it would dial again.
+            self._ends[taken.setup.dialog], taken.leg = reason, None
+            self._needs[taken.setup.dialog] = Need.END
+            return
+        super()._over(taken, reason)
 
     def _drop(self, dialog_id: str, reason: str) -> None:
         if self._needs.pop(dialog_id, None) is Need.ASK:
@@ -239,10 +250,7 @@
             self._tell_kept(taken)
         elif decision.need is Need.END:
             self._withdraws(taken)
-            if isinstance(taken.caller, Absent):
-                self._needs[dialog_id] = Need.END
-            else:
-                self._over(taken, "cut")
+            self._over(taken, "cut")
         elif decision.need is Need.FORGET:
             self._forget(taken)
         else:
@@ -337,7 +345,7 @@
         if taken.stands:
             caller.send(setup.Stands(dialog_id, 0, taken.link.server if taken.link is not None else ""))
             if need is Need.END:
-                self._over(taken, "cut")
+                self._over(taken, self._ends[dialog_id])
             return
         caller.send(setup.Provisional(dialog_id))
         if need is Need.GO_ON:
--- a/valverouter/edge/owed.py
+++ b/valverouter/edge/owed.py
@@ -56,7 +56,9 @@
 
     def __init__(self, store: Keeps, moment: Callable[[], Moment]) -> None:
         self._store = store
-        self._moment = moment
+        self._clock = moment
+        # One moment for all that a turn does.
+        self._at: Moment | None = None
         self._records: dict[str, Record] = {}
         # Answered dialogs by when their caller's time is over, kept until then in case it asks again.
         self._answered: deque[tuple[int, str]] = deque()
@@ -65,6 +67,11 @@
         # Wall seconds, so that an epoch after a store that was lost is later than those before it.
         self.epoch = store.begin_epoch(moment().wall // SECOND)
 
+    def _moment(self) -> Moment:
+        if self._at is None:
+            self._at = self._clock()
+        return self._at
+
     def __len__(self) -> int:
         return len(self._records)
 
@@ -169,6 +176,7 @@
 
     def commit(self, now: int) -> None:
         """Before a turn's words leave. After it they are on record, or nothing is."""
+        self._at = None
         if now >= self._swept_at + SWEEP:
             self._swept_at = now
             self._sweep(now)
--- a/valverouter/emulator/callers.py
+++ b/valverouter/emulator/callers.py
@@ -75,6 +75,9 @@
 
     def _gives_up(self, dialog: str, made: _Try) -> None:
         if self.tries.get(dialog) is made and not made.stands:
+            if not self._edge.runs:
+                self._over(dialog, True)
+                return
             self._row(True, "cancel", dialog)
             self._edge.turn(self._edge.cancelled, dialog)
 
@@ -102,6 +105,20 @@
         for dialog in list(self.tries):
             self._over(dialog, True)
 
+    def away(self) -> None:
+        """The edge proxy is gone and keeps what it owes: we come back for it."""
+        self._tap.row(Lost, edge=self._edge.name, peer=self.name)
+        self._ready_at = self._sim.now() + RECONNECT
+        self._sim.after(RECONNECT, self._back)
+
+    def _back(self) -> None:
+        if not self._edge.runs:
+            self._sim.after(RECONNECT, self._back)
+            return
+        for dialog in list(self.tries):
+            self._row(True, "resume", dialog)
+            self._edge.turn(self._edge.resumed, dialog)
+
     def _over(self, dialog: str, again: bool, least: int = 0) -> None:
         made = self.tries.pop(dialog)
         if not again or made.tries > self._habits.redials:
--- a/valverouter/emulator/edges.py
+++ b/valverouter/emulator/edges.py
@@ -29,10 +29,15 @@
     Report,
     ServerEntry,
 )
+from valverouter.recovery.decide import Need, attempts_left
+from valverouter.recovery.pace import Pace
+from valverouter.servermodel.server import Key
 
 # What connecting and greeting take beside the way there and back.
 CONNECT = 2_000_000
 HELLO_WITHIN = 2_000_000_000
+# For so long what stands waits for its server's word after a restart.
+ASKED_WITHIN = 5_000_000_000
 SECOND = 1_000_000_000
 
 
@@ -56,6 +61,9 @@
     crossing: Callable[[int], CrossingRule | None] = lambda now: None
     attempts: AttemptsOf | None = None
     decisions: Callable[[Deployment, int, int, CrossingRule | None], Driver] = Driver
+    ledger: bool = False
+    # The decisions' own terms of a traffic type, for what a former self's legs leave of them.
+    usual: Callable[[str], AttemptTerms | None] = lambda kind: None
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +85,8 @@
 
     def cut_off(self) -> None: ...
 
+    def away(self) -> None: ...
+
 
 @dataclass(slots=True)
 class _Open:
@@ -86,6 +96,14 @@
     leg: int | None = None
     link: _Link | None = None
     stands: bool = False
+    # Of a former self: legs that one had sent, the server of what stands and the key under which it has it.
+    # `need`: what it waits for before its course goes on; `back`: its caller came back.
+    used: int = 0
+    at: str = ""
+    held: Key | None = None
+    need: Need | None = None
+    back: bool = True
+    word: str = ""
 
 
 class _Link:
@@ -128,6 +146,9 @@
         self._late: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
         self._late_list: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
         self._life = 0
+        # What a former self left on record; taken over by the next start.
+        self._left: list[_Open] = []
+        self._pace = Pace()
 
     def start(self, rows: Sequence[tuple[ServerEntry, int, int | None]]) -> None:
         """A fresh process that hears the whole list at once; links come up as they connect."""
@@ -142,20 +163,131 @@
         self._beat_ref = 0
         self._reported = len(self._reports)
         self.driver = plan.decisions(plan.deployment, plan.seed, now, plan.crossing(now))
+        self._pace = Pace()
         self._carry_out()
+        left, self._left = self._left, []
+        for one in left:
+            self._take_over(one, now)
         self.listed(ListScope.WHOLE, rows)
 
+    # What a former self left, as valverouter.edge.keeping does
+
+    def _take_over(self, one: _Open, now: int) -> None:
+        self._dialogs[one.asked.dialog] = one
+        one.used, one.legs, one.leg, one.link = one.used + one.legs, 0, None, None
+        one.back, one.need = False, Need.ASK if one.stands else Need.WAIT
+        # Its server gave up what did not stand with the connection: the release time, counted from here.
+        wait = ASKED_WITHIN if one.stands else self.plan.deployment.release_wait
+        self._sim.after(wait, self.turn, self._waited, self._life, one)
+
+    def _waited(self, life: int, one: _Open) -> None:
+        if life != self._life or self._dialogs.get(one.asked.dialog) is not one:
+            return
+        if one.need is Need.ASK:
+            self._ended(one, "cut")
+        elif one.need is Need.WAIT:
+            one.need = Need.GO_ON
+            if one.back:
+                self._goes_on(one)
+
+    def _goes_on(self, one: _Open) -> None:
+        one.need = None
+        plan, asked, now = self.plan, one.asked, self._sim.now()
+        attempts = self._attempts_of(asked)
+        if one.used and (usual := attempts or plan.usual(asked.traffic_type)) is not None:
+            attempts = attempts_left(usual, one.used, plan.deployment.legs_allowed)
+            if attempts is None:
+                self._answer(one, "declined", plan.deployment.come_back_limit)
+                return
+        if one.deadline - plan.answer_margin <= now:
+            self._answer(one, "aborted", 0, "no-time")
+            return
+        self._hand_in(asked, one.deadline - plan.answer_margin, attempts)
+
+    def _ask_at(self, link: _Link) -> None:
+        """A link is up: what stands at its server is asked for, by the pace."""
+        for dialog, one in self._dialogs.items():
+            if one.need is Need.ASK and one.link is None and link.server.name == one.at:
+                one.link = link
+                kind = self.plan.deployment.traffic_types.get(one.asked.traffic_type)
+                left = one.deadline - self._sim.now()
+                self._pace.add(dialog, one.at, left, kind.importance if kind else 0.0)
+        self._ask_next()
+
+    def _ask_next(self) -> None:
+        for dialog, server in self._pace.next(self._sim.now()):
+            one, link = self._dialogs.get(dialog), self._links.get(server)
+            if (
+                one is None
+                or link is None
+                or link.wire is None
+                or one.held is None
+                or one.need is not Need.ASK
+            ):
+                self._pace.answered(server)
+                continue
+            self._sim.after(
+                self._delay(link.server), self._asked, self._life, dialog, link, link.wire, one.held
+            )
+
+    def _asked(self, life: int, dialog: str, link: _Link, wire: Wire, held: Key) -> None:
+        if life == self._life and wire.up:
+            stands = link.server.resume(held, wire)
+            self._sim.after(self._delay(link.server), self._told, life, dialog, link, stands)
+
+    def _told(self, life: int, dialog: str, link: _Link, stands: bool) -> None:
+        if life == self._life:
+            self.turn(self._fate, dialog, link, stands)
+
+    def _fate(self, dialog: str, link: _Link, stands: bool) -> None:
+        self._pace.answered(link.server.name)
+        one = self._dialogs.get(dialog)
+        if one is not None and one.held is not None and one.need is Need.ASK:
+            one.need = None
+            if stands:
+                one.leg = one.held[2]
+                link.legs[dialog, one.leg] = False
+            else:
+                self._ended(one, "cut")
+        self._ask_next()
+
+    def resumed(self, dialog: str) -> None:
+        """Its caller came back: what stands is told again."""
+        one = self._dialogs.get(dialog)
+        if one is None:
+            if self.caller is not None:
+                self.caller.heard("unknown", dialog)
+            return
+        one.back = True
+        if one.stands and self.caller is not None:
+            self.caller.heard("stands", dialog, 0, one.at)
+            if one.need is Need.END:
+                self._ended(one, one.word)
+        elif one.need is Need.GO_ON:
+            self._goes_on(one)
+
     def kill(self) -> None:
         """The process ends: its callers and servers see their connections break."""
         self.runs = False
         self._late.clear()
         self._late_list.clear()
         links, self._links = self._links, {}
+        by_link: dict[_Link, list[Key]] = {}
+        if self.plan.ledger:
+            self._left = list(self._dialogs.values())
+            for one in self._left:
+                if one.stands and one.link is not None and one.link.wire is not None and one.leg is not None:
+                    one.at = one.link.server.name
+                    one.held = one.held or (one.link.wire.peer, one.asked.dialog, one.leg)
+                    by_link.setdefault(one.link, []).append(one.held)
         for link in links.values():
             if link.wire is not None:
-                link.wire.cut()
+                link.wire.cut(by_link.get(link, ()))
         if self.caller is not None:
-            self.caller.cut_off()
+            if self.plan.ledger:
+                self.caller.away()
+            else:
+                self.caller.cut_off()
 
     def stall(self, span: int) -> None:
         """Held for a span: what comes meanwhile is handled after it, the list's word first."""
@@ -271,18 +403,23 @@
         if left <= 0:
             self._answer(one, "aborted", 0, "no-time")
             return
-        attempts = None
-        if plan.attempts is not None:
-            attempts = plan.attempts.of(
-                asked.traffic_type, asked.called_number, f"c{plan.place}", asked.first_choice
-            )
-            if attempts is not None and attempts.no_answer:
-                left = min(left, attempts.no_answer)
+        attempts = self._attempts_of(asked)
+        if attempts is not None and attempts.no_answer:
+            left = min(left, attempts.no_answer)
+        self._hand_in(asked, now + left, attempts)
+
+    def _attempts_of(self, asked: Asked) -> AttemptTerms | None:
+        plan = self.plan
+        if plan.attempts is None:
+            return None
+        return plan.attempts.of(asked.traffic_type, asked.called_number, f"c{plan.place}", asked.first_choice)
+
+    def _hand_in(self, asked: Asked, no_answer_at: int, attempts: AttemptTerms | None) -> None:
         self.driver.dialog(
             Dialog(
                 asked.dialog,
                 asked.traffic_type,
-                now + left,
+                no_answer_at,
                 asked.first_choice,
                 asked.called_number,
                 asked.was_cut,
@@ -403,6 +540,9 @@
             self._end_leg(one, outcome, asked_wait, report)
 
     def _ended(self, one: _Open, word: str) -> None:
+        if not one.back:
+            one.need, one.word, one.leg = Need.END, word, None
+            return
         if self.caller is not None:
             self.caller.heard("ended", one.asked.dialog, 0, word)
         self._dialogs.pop(one.asked.dialog, None)
@@ -486,6 +626,7 @@
             return
         for ask in early:
             ask()
+        self._ask_at(link)
 
     def _started_at(self, server: str, incarnation: int, age: int | None) -> int:
         known = self._started.get(server)
--- a/valverouter/emulator/servers.py
+++ b/valverouter/emulator/servers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from valverouter.emulator.simulated import Chance, Simulated
@@ -10,6 +10,9 @@
 from valverouter.servermodel.server import Happening, Happens, Key, SetupServer
 from valverouter.signalling.tap import Began, Lost, Passed, Tap
 
+# So long a leg that is on record at its edge proxy outlives the connection.
+KEEPS = 10_000_000_000
+
 OUTCOMES = {
     Happens.STANDS: (Outcome.STANDS, "stands"),
     Happens.ENDED: (Outcome.ENDED, "ended"),
@@ -79,14 +82,16 @@
         )
         self.edge.answered(self, dialog, leg, outcome, happening.asked_wait, report, word)
 
-    def cut(self) -> None:
+    def cut(self, keeps: Sequence[Key] = ()) -> None:
+        """The connection breaks; the legs to keep outlive it for a while, to be resumed on another."""
         if not self.up:
             return
         self.up = False
         server = self.server
         server.wires.pop(self.peer, None)
         server.tap.row(Lost, edge=self.edge.name, peer=server.name)
-        server.model.peer_lost(server.sim.now(), self.peer)
+        server.keep(keeps)
+        server.model.peer_lost(server.sim.now(), self.peer, server.kept)
         server.stirred()
         self.edge.wire_down(self)
 
@@ -116,6 +121,8 @@
         self.silent = False
         self.refuses: set[str] = set()
         self.wires: dict[str, Wire] = {}
+        # Legs that outlived their connection, with the one that they are on now; each leaves with its end.
+        self.kept: dict[Key, Wire | None] = {}
         self._lengths = lengths
         self._mean_length = mean_length
         self._tells_lines = tells_lines
@@ -143,7 +150,8 @@
         """Tells what happened by now, and comes back when the model next has something to do."""
         now = self.sim.now()
         for happening in self.model.advance(now):
-            wire = self.wires.get(happening.key[0])
+            wire = self.kept.pop(happening.key, None) if self.kept else None
+            wire = wire or self.wires.get(happening.key[0])
             if wire is not None and not self.silent and happening.what is not Happens.PROVISIONAL:
                 wire.tells(happening)
         due = self.model.due()
@@ -151,7 +159,28 @@
             self._due = due
             self.sim.at(due, self.stirred)
 
+    def keep(self, keys: Sequence[Key]) -> None:
+        for key in [*keys, *(key for key, wire in self.kept.items() if wire is not None and not wire.up)]:
+            self.kept[key] = None
+            self.sim.after(KEEPS, self._forsake, key)
+
+    def _forsake(self, key: Key) -> None:
+        if key in self.kept and self.kept[key] is None:
+            del self.kept[key]
+            self.model.forsake(self.sim.now(), key)
+            self.stirred()
+
+    def resume(self, key: Key, wire: Wire) -> bool:
+        """A later start asks for a leg on a connection of its own: whether it stands here still."""
+        self.model.asked(self.sim.now())
+        stands = key in self.kept and key in self.model.legs
+        if stands:
+            self.kept[key] = wire
+        self.stirred()
+        return stands
+
     def fell(self) -> None:
+        self.kept.clear()
         for wire in list(self.wires.values()):
             wire.cut()
 
--- a/valverouter/ledger/store.py
+++ b/valverouter/ledger/store.py
@@ -15,7 +15,7 @@
 
 import fcntl
 import zlib
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import closing
 from pathlib import Path
 from types import TracebackType
@@ -33,6 +33,8 @@
 # lmdb writes beside what it replaces, deletions too: a store filled to its map can't even be emptied. So the
 # map has room beyond what entries may take.
 SPARE = 4
+# Live bytes are counted again after so large a part of the most was put.
+COUNTED_IN = 64
 
 _encoder = msgspec.msgpack.Encoder()
 _records = msgspec.msgpack.Decoder(Record)
@@ -86,8 +88,10 @@
             self.close()
             raise
         # None: the entry goes. Emptied by each commit.
-        self._puts: dict[tuple[Any, bytes], bytes | None] = {}
+        self._puts: dict[tuple[Any, str], Record | Learnt | None] = {}
         self._most = most
+        # Bytes put since the live ones were last counted: counting at each commit cost a third of it.
+        self._uncounted = most
 
     def __enter__(self) -> Ledger:
         return self
@@ -129,13 +133,14 @@
     # Changes
 
     def put(self, record: Record) -> None:
-        self._puts[self._dialogs, record.dialog.encode()] = _sealed(record)
+        # Written out at the commit alone: of a dialog that moves on twice in a turn, the last state.
+        self._puts[self._dialogs, record.dialog] = record
 
     def drop(self, dialog: str) -> None:
-        self._puts[self._dialogs, dialog.encode()] = None
+        self._puts[self._dialogs, dialog] = None
 
     def put_learnt(self, learnt: Learnt) -> None:
-        self._puts[self._servers, learnt.server.encode()] = _sealed(learnt)
+        self._puts[self._servers, learnt.server] = learnt
 
     @property
     def pending(self) -> int:
@@ -148,18 +153,28 @@
         if not puts:
             return 0
         try:
-            if any(value is not None for value in puts.values()) and (live := self.live()) >= self._most:
-                raise LedgerFullError(f"{self.path}: {live} bytes live, {self._most} are allowed")
+            self._has_room(puts)
             with self._env.begin(write=True) as txn:
                 for (table, key), value in puts.items():
                     if value is None:
-                        txn.delete(key, db=table)
+                        txn.delete(_key(key), db=table)
                     else:
-                        txn.put(key, value, db=table)
+                        sealed = _sealed(value)
+                        self._uncounted += len(sealed)
+                        txn.put(_key(key), sealed, db=table)
         except (lmdb.Error, OSError) as error:
             raise LedgerFullError(f"{self.path}: {type(error).__name__}: {error}") from error
         return len(puts)
 
+    def _has_room(self, puts: Mapping[Any, Record | Learnt | None]) -> None:
+        if self._uncounted < self._most // COUNTED_IN or not any(
+            value is not None for value in puts.values()
+        ):
+            return
+        if (live := self.live()) >= self._most:
+            raise LedgerFullError(f"{self.path}: {live} bytes live, {self._most} are allowed")
+        self._uncounted = 0
+
     def void(self) -> None:
         """Takes out every entry; changes that wait are given up. LedgerFullError: the store is as it was."""
         self._puts = {}
@@ -190,7 +205,7 @@
         tables = {"dialogs": self._dialogs, "servers": self._servers}
         with self._env.begin(write=True) as txn:
             for one in lost:
-                txn.delete(one.key.encode("utf-8", "surrogateescape"), db=tables[one.table])
+                txn.delete(_key(one.key), db=tables[one.table])
         self._env.sync(True)
         return lost
 
@@ -210,6 +225,11 @@
         return int((info["last_pgno"] + 1) * stat["psize"])
 
 
+def _key(name: str) -> bytes:
+    # A damaged entry's name may be no text; it is taken out under the bytes it has.
+    return name.encode("utf-8", "surrogateescape")
+
+
 def _sealed(value: Record | Learnt) -> bytes:
     body = _encoder.encode(value)
     return zlib.crc32(body).to_bytes(4, "big") + body
--- a/valverouter/servermodel/server.py
+++ b/valverouter/servermodel/server.py
@@ -362,6 +362,10 @@
         for key in [key for key in self.legs if key[0] == peer and key not in keeps]:
             self.forsake(now, key)
 
+    def asked(self, now: int) -> None:
+        """A former connection's leg is asked for: looking it up costs what a repeat does."""
+        self._enqueue(now, _Job(_Work.REPEAT, None, self.make.repeat_work))
+
     def forsake(self, now: int, key: Key) -> None:
         """Nobody is there for this leg any more: it is let go, and nobody is told."""
         if key in self.legs:
--- a/valverouter/standins/server.py
+++ b/valverouter/standins/server.py
@@ -146,6 +146,7 @@
         wire.send(Welcome(wire.session.version, self.name, self.incarnation, age))
 
     def _resumed(self, wire: Wire, leg: Key) -> None:
+        self.model.asked(self._agenda.now())
         name = self._kept.get(leg, (leg, None))[0]
         if leg not in self._kept or name not in self.model.legs:
             wire.send(setup.Unknown(leg[1], leg[2]))
