A store that was cut off no longer ends the edge proxy by a signal at every start

Seen: a ledger whose file is shorter than its pages is mapped past its end; the first read there is SIGBUS (exit -7), and again at each start (test_a_store_that_can_not_be_read_is_set_aside[cut off]). The lines: Ledger.__init__, lmdb.open with nothing that looks at the file's length. Ruled out: refusing files shorter than the last page number says, since pages that were never used may rightly be missing.

Now the file is covered with noughts up to its last page, whose reading lmdb refuses as damaged, and the command reads every entry once at its start: what can't be read is set aside. Tested beside: another version, no store, a page of noughts, two processes on one store, an address in use.

--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -4,6 +4,8 @@
 
 import logging
 import random
+import subprocess
+import sys
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -599,3 +601,69 @@
     owed.leg_over("d1", Outcome.FULL)
     owed.commit(0)
     assert [*phases, store.kept["d1"].phase] == [Phase.LET_GO, Phase.WAITING]
+
+
+# The command
+
+EDGE = """
+[edge]
+name = e
+listen = {listen}
+list_service = 127.0.0.1:9
+[fleet]
+edge_proxies = 1
+[traffic plain]
+objective = 1s
+[ledger]
+folder = {folder}
+"""
+
+
+def starts(folder: Path, listen: str = "127.0.0.1:0") -> tuple[int, str]:
+    """Exit code and log of `valverouter edge`, asked to stop once it listens."""
+    (folder / "e.ini").write_text(EDGE.format(folder=folder / "store", listen=listen))
+    words = [sys.executable, "-m", "valverouter.cli", "edge", str(folder / "e.ini")]
+    with subprocess.Popen(words, stderr=subprocess.PIPE, text=True) as ran:
+        said, asked = [], False
+        assert ran.stderr is not None
+        for line in ran.stderr:
+            said.append(line)
+            if '"listening"' in line and not asked:
+                ran.terminate()
+                asked = True
+    return ran.returncode, "".join(said)
+
+
+def test_two_processes_on_one_store(tmp_path: Path) -> None:
+    with Ledger(tmp_path / "store"):
+        code, said = starts(tmp_path)
+    assert code == 3 and "held by another process" in said and "Traceback" not in said
+
+
+@pytest.mark.parametrize("how", ["another version", "no store", "cut off", "a page of noughts"])
+def test_a_store_that_can_not_be_read_is_set_aside(how: str, tmp_path: Path) -> None:
+    with Ledger(tmp_path / "store") as store:
+        for at in range(400):
+            store.put(Record(f"d{at}", "c0", "plain", 0, 0, Moment(1, 1, "b"), SECOND, 0))
+        store.commit()
+        if how == "another version":
+            store._write_meta(b"format", 99)
+    data = tmp_path / "store" / "data.mdb"
+    if how == "no store":
+        data.write_bytes(b"\xff" * 8_192)
+    elif how == "cut off":
+        # Mapped past its end, the file ended the process by a signal, at every start anew.
+        data.write_bytes(data.read_bytes()[:20_000])
+    elif how == "a page of noughts":
+        pages = data.read_bytes()
+        at = next(at for at in range(8_192, len(pages), 4_096) if b"plain" in pages[at : at + 4_096])
+        data.write_bytes(pages[:at] + bytes(4_096) + pages[at + 4_096 :])
+    code, said = starts(tmp_path)
+    assert code == 0 and "Traceback" not in said, said
+    assert '"ledger-set-aside"' in said
+    assert any(one.name.startswith("store.aside-") for one in tmp_path.iterdir())
+
+
+def test_an_address_in_use_is_told_with_a_ledger_too(tmp_path: Path) -> None:
+    code, said = starts(tmp_path, "192.0.2.1:1")
+    assert code == 3 and "could-not-run" in said and "Traceback" not in said
--- a/valverouter/cli/__main__.py
+++ b/valverouter/cli/__main__.py
@@ -102,6 +102,11 @@
     folder = Path(told.folder)
     try:
         store = Ledger(folder, told.most, told.sync)
+        try:
+            store.check()
+        except LedgerError:
+            store.close()
+            raise
     except LedgerBusyError:
         raise
     except LedgerError as error:
--- a/valverouter/ledger/store.py
+++ b/valverouter/ledger/store.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import fcntl
+import os
 import zlib
 from collections.abc import Iterator, Mapping
 from contextlib import closing
@@ -77,6 +78,7 @@
             self._env = lmdb.open(
                 str(path), map_size=SPARE * most, max_dbs=3, sync=sync == "each", metasync=sync == "each"
             )
+            self._cover()
             self._meta, self._dialogs, self._servers = (
                 self._env.open_db(name) for name in (b"meta", b"dialogs", b"servers")
             )
@@ -106,6 +108,22 @@
         self._env.close()
         self._lock.close()
 
+    def _cover(self) -> None:
+        # A file that was cut off is mapped past its end, and reading there ends the process by a signal, at
+        # every start anew. Covered with noughts, its missing pages read as damaged.
+        info, file = self._env.info(), self.path / "data.mdb"
+        needs = (info["last_pgno"] + 1) * self._env.stat()["psize"]
+        if file.stat().st_size < needs:
+            os.truncate(file, needs)
+
+    def check(self) -> None:
+        """Reads every entry once; LedgerError where the store's own pages are damaged, not an entry alone."""
+        try:
+            for _ in (*self.records(), *self.learnt()):
+                pass
+        except lmdb.Error as error:
+            raise LedgerError(f"{self.path}: {error}") from error
+
     def _check_format(self) -> None:
         with self._env.begin(db=self._meta) as txn:
             held = txn.get(b"format")
