--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -280,6 +280,59 @@
         assert link.all(setup.Release) == [setup.Release("d1", leg.leg)], "it did not come back in time"
 
 
+@pytest.mark.parametrize("how", ["held", "unknown", "refused", "gone from the list"])
+async def test_what_stands_over_a_link_that_breaks(how: str, autojump_clock: MockClock) -> None:
+    async with kept(1) as rig:
+        caller = await rig.caller()
+        await caller.send(dial())
+        link, leg = await leg_at(rig)
+        await link.send(setup.Stands("d1", leg.leg))
+        await caller.next(setup.Stands)
+        server, began = rig.servers["s0"], trio.current_time()
+        if how == "gone from the list":
+            await rig.tell(server.row("gone"))
+        if how in ("held", "unknown"):
+            await link.cut()
+            await trio.sleep(0.5)
+            assert await server.link.next(setup.Resume) == setup.Resume("d1", leg.leg)
+            assert not caller.all(setup.Ended)
+            word = setup.Stands if how == "held" else setup.Unknown
+            await server.link.send(word("d1", leg.leg))
+        else:
+            server.scope.cancel()
+        if how == "held":
+            assert await server.link.next(setup.Kept) == setup.Kept("d1", leg.leg)
+            await caller.send(setup.Release("d1"))
+            assert await server.link.next(setup.Release) == setup.Release("d1", leg.leg)
+            await server.link.send(setup.Ended("d1", leg.leg, "released"))
+            assert (await caller.next(setup.Ended)).reason == "released"
+        else:
+            assert (await caller.next(setup.Ended)).reason == "cut"
+            assert trio.current_time() - began < 1, "told at once, so that its caller may dial again"
+        await trio.sleep(0.1)
+        assert not rig.store.kept and not rig.edge._dialogs and rig.edge.tally.failures == 0
+
+
+def test_more_stands_on_where_links_break_and_servers_live(monkeypatch: pytest.MonkeyPatch) -> None:
+    def breaks(world: World, edges: list[MemoryEdge]) -> None:
+        async def at_times() -> None:
+            for at in range(6):
+                await trio.sleep(0.8)
+                for wire in list(world.servers[f"s{at % 4}"].wires):
+                    wire.cut()
+
+        assert world._nursery is not None
+        world._nursery.start_soon(at_times)
+
+    cut = []
+    for ledger in (True, False):
+        rows = run_virtual(killed(4, 0, ledger=ledger), breaks)
+        accounted(rows)
+        cut.append(sum(one.answers["cut"] for one in account(rows).values()))
+    # What stood within the way to its server and back before a break is not on record there yet.
+    assert cut[0] < cut[1] / 20 and cut[1] > 50
+
+
 @pytest.mark.parametrize("reason", ["over", "cut"])
 async def test_an_end_while_its_caller_is_away_is_told_when_it_is_back(
     reason: str, autojump_clock: MockClock
--- a/valverouter/edge/keeping.py
+++ b/valverouter/edge/keeping.py
@@ -302,15 +302,32 @@
             self._ask_at(event.link, event.welcome.incarnation)
 
     def _link_down(self, event: LinkDown) -> None:
-        asked = {
-            (dialog_id, leg)
-            for dialog_id, leg in event.sent
-            if self._needs.get(dialog_id) is Need.ASK and self._dialogs[dialog_id].leg == leg
-        }
-        for _ in asked:
-            self._pace.silent(event.link.server, self._now)
-        # Asked again on the next connection, while there is time.
-        super()._link_down(LinkDown(event.link, event.why, event.sent - asked, event.unsent - asked))
+        """What stands on record there is asked for on the next connection, in place of being cut at once. A
+        connection that does not come about is answer enough: a server that died has cut it, and a caller who
+        is told so late dials again late."""
+        link = event.link
+        if link.is_over or not event.sent:
+            for dialog_id, need in list(self._needs.items()):
+                record = self._owed.record(dialog_id)
+                if need is Need.ASK and record is not None and record.server == link.server:
+                    self._fate(self._dialogs[dialog_id], Word.UNKNOWN, True)
+        asked = set() if link.is_over else {key for key in event.sent if self._asks_again(link, key)}
+        super()._link_down(LinkDown(link, event.why, event.sent - asked, event.unsent))
+
+    def _asks_again(self, link: Link, key: tuple[str, int]) -> bool:
+        dialog_id, leg = key
+        taken = self._dialogs.get(dialog_id)
+        if taken is None or taken.link is not link or taken.leg != leg:
+            return False
+        if self._needs.get(dialog_id) is Need.ASK:
+            self._pace.silent(link.server, self._now)
+            return True
+        record = self._owed.record(dialog_id)
+        if not taken.stands or taken.released or record is None or record.phase is not Phase.STANDS:
+            return False
+        self._needs[dialog_id] = Need.ASK
+        self._alarms.set(self._now + self.terms.ledger.resume_within, Mend(dialog_id, Need.ASK))
+        return True
 
     # Callers that go and come back
 
--- a/valverouter/emulator/edges.py
+++ b/valverouter/emulator/edges.py
@@ -232,23 +232,23 @@
 
     def _asked(self, life: int, dialog: str, link: _Link, wire: Wire, held: Key) -> None:
         if life == self._life and wire.up:
-            stands = link.server.resume(held, wire)
-            self._sim.after(self._delay(link.server), self._told, life, dialog, link, stands)
+            word = link.server.resume(held, wire)
+            self._sim.after(self._delay(link.server), self._told, life, dialog, link, word)
 
-    def _told(self, life: int, dialog: str, link: _Link, stands: bool) -> None:
+    def _told(self, life: int, dialog: str, link: _Link, word: str) -> None:
         if life == self._life:
-            self.turn(self._fate, dialog, link, stands)
+            self.turn(self._fate, dialog, link, word)
 
-    def _fate(self, dialog: str, link: _Link, stands: bool) -> None:
+    def _fate(self, dialog: str, link: _Link, word: str) -> None:
         self._pace.answered(link.server.name)
         one = self._dialogs.get(dialog)
         if one is not None and one.held is not None and one.need is Need.ASK:
             one.need = None
-            if stands:
+            if word == "stands":
                 one.leg = one.held[2]
                 link.legs[dialog, one.leg] = False
             else:
-                self._ended(one, "cut")
+                self._ended(one, word)
         self._ask_next()
 
     def resumed(self, dialog: str) -> None:
--- a/valverouter/emulator/servers.py
+++ b/valverouter/emulator/servers.py
@@ -123,6 +123,8 @@
         self.wires: dict[str, Wire] = {}
         # Legs that outlived their connection, with the one that they are on now; each leaves with its end.
         self.kept: dict[Key, Wire | None] = {}
+        # Ends of such legs that found nobody connected; each leaves when it is asked for, or in time.
+        self.untold: dict[Key, str] = {}
         self._lengths = lengths
         self._mean_length = mean_length
         self._tells_lines = tells_lines
@@ -150,8 +152,12 @@
         """Tells what happened by now, and comes back when the model next has something to do."""
         now = self.sim.now()
         for happening in self.model.advance(now):
-            wire = self.kept.pop(happening.key, None) if self.kept else None
-            wire = wire or self.wires.get(happening.key[0])
+            wire = self.wires.get(happening.key[0])
+            if happening.key in self.kept:
+                wire = self.kept.pop(happening.key)
+                if wire is None:
+                    self.untold[happening.key] = "cut" if happening.what is Happens.CUT else "over"
+                    self.sim.after(KEEPS, self._forgets, happening.key)
             if wire is not None and not self.silent and happening.what is not Happens.PROVISIONAL:
                 wire.tells(happening)
         due = self.model.due()
@@ -164,23 +170,27 @@
             self.kept[key] = None
             self.sim.after(KEEPS, self._forsake, key)
 
+    def _forgets(self, key: Key) -> None:
+        self.untold.pop(key, None)
+
     def _forsake(self, key: Key) -> None:
         if key in self.kept and self.kept[key] is None:
             del self.kept[key]
             self.model.forsake(self.sim.now(), key)
             self.stirred()
 
-    def resume(self, key: Key, wire: Wire) -> bool:
-        """A later start asks for a leg on a connection of its own: whether it stands here still."""
+    def resume(self, key: Key, wire: Wire) -> str:
+        """A later start asks for a leg on a connection of its own: "stands", or how it ended."""
         self.model.asked(self.sim.now())
-        stands = key in self.kept and key in self.model.legs
-        if stands:
-            self.kept[key] = wire
         self.stirred()
-        return stands
+        if key in self.kept and key in self.model.legs:
+            self.kept[key] = wire
+            return "stands"
+        return self.untold.pop(key, "cut")
 
     def fell(self) -> None:
         self.kept.clear()
+        self.untold.clear()
         for wire in list(self.wires.values()):
             wire.cut()
 
--- a/valverouter/servermodel/server.py
+++ b/valverouter/servermodel/server.py
@@ -363,8 +363,9 @@
             self.forsake(now, key)
 
     def asked(self, now: int) -> None:
-        """A former connection's leg is asked for: looking it up costs what a repeat does."""
-        self._enqueue(now, _Job(_Work.REPEAT, None, self.make.repeat_work))
+        """A former connection's leg is asked for: to read that, look it up and answer costs what it costs to
+        turn one away."""
+        self._enqueue(now, _Job(_Work.REFUSE, None, self.make.refuse_work))
 
     def forsake(self, now: int, key: Key) -> None:
         """Nobody is there for this leg any more: it is let go, and nobody is told."""
--- a/valverouter/standins/server.py
+++ b/valverouter/standins/server.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import trio
@@ -54,11 +55,15 @@
         self.wires: list[Wire] = []
         self._serials: dict[Wire, int] = {}
         self._served = 0
+        # Connections that have been sent their welcome.
+        self._greeted: set[Wire] = set()
         # The latest start of each edge proxy that keeps a ledger; one entry for each of a day's.
         self._epochs: dict[str, int] = {}
         # Legs that outlive their connection, by edge proxy, dialog and leg: their name in the model and the
         # connection that they are on now. Each leaves with its end.
         self._kept: dict[Key, tuple[Key, Wire | None]] = {}
+        # Ends of such legs that found nobody connected: told when asked for, else they leave in time.
+        self._untold: dict[Key, Happening] = {}
         self.refuses: set[str] = set()
         self.silent = False
         self.on_wire: Callable[[Wire], None] = lambda wire: None
@@ -89,7 +94,8 @@
         if self.model.runs:
             report = setup.Reported(self._load(self._agenda.now()))
             for wire in self.wires:
-                if wire.session.version:
+                # Its hello may be read and not answered: a report ahead of the welcome breaks the protocol.
+                if wire in self._greeted:
                     wire.send(report)
 
     async def _listen(self, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
@@ -115,6 +121,7 @@
 
     def _lost(self, wire: Wire) -> None:
         self.wires.remove(wire)
+        self._greeted.discard(wire)
         now, kept = self._agenda.now(), {name for name, _ in self._kept.values()}
         self.model.peer_lost(now, self._peer(wire), kept)
         for leg, (name, on) in list(self._kept.items()):
@@ -130,6 +137,9 @@
             self.model.forsake(self._agenda.now(), name)
             self.stirred()
 
+    def _forgets(self, leg: Key) -> None:
+        self._untold.pop(leg, None)
+
     def _welcomed(self, wire: Wire, hello: Hello, now: int) -> None:
         """A later start of an edge proxy fences off the former one: what that still sends is not heard, and
         what was under way there is given up before the new one can ask for it."""
@@ -142,12 +152,17 @@
             one.cut()
             kept = {name for name, _ in self._kept.values()}
             self.model.peer_lost(now, self._peer(one), kept)
+        self._greeted.add(wire)
         age = max(0, now - self.model.started_at)
         wire.send(Welcome(wire.session.version, self.name, self.incarnation, age))
 
     def _resumed(self, wire: Wire, leg: Key) -> None:
         self.model.asked(self._agenda.now())
         name = self._kept.get(leg, (leg, None))[0]
+        if (ended := self._untold.pop(leg, None)) is not None:
+            wire.send(setup.Stands(leg[1], leg[2], report=self._load(self._agenda.now())))
+            self._tell(wire, ended, self._agenda.now())
+            return
         if leg not in self._kept or name not in self.model.legs:
             wire.send(setup.Unknown(leg[1], leg[2]))
             return
@@ -198,6 +213,9 @@
             wire, leg = by_peer.get(peer), (peer.rpartition("#")[0], dialog, number)
             if self._kept and leg in self._kept and self._kept[leg][0] == happening.key:
                 wire = self._kept.pop(leg)[1]
+                if wire is None:
+                    self._untold[leg] = happening
+                    self._agenda.at(now + KEEPS, partial(self._forgets, leg))
             if wire is not None and not self.silent:
                 self._tell(wire, happening, now)
         due = self.model.due()
@@ -223,6 +241,7 @@
     def crash(self) -> None:
         """The process is gone: its connections break, its port refuses."""
         self._kept.clear()
+        self._untold.clear()
         self.model.crash(self._agenda.now())
         self._fell()
 
@@ -234,6 +253,7 @@
     def vanish(self) -> None:
         """The machine is gone without a word: nothing is answered, nothing is closed."""
         self._kept.clear()
+        self._untold.clear()
         self.model.crash(self._agenda.now())
         self.silent = True
 
