Accounts skip a repeated "stands" of the same dialog alone, not of a caller's later try

A dialog that stood, was lost with its edge proxy and stood late on a redial then counted as served in time. Lines: audit/account.py, the branch on "stands"; now by the dialog's id. test_what_stood_is_counted_once... fails without it; the audit's rule for resumed dialogs gets its table.

--- a/tests/rig.py
+++ b/tests/rig.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from types import UnionType
-from typing import Any
+from typing import Any, TypeVar
 
 import trio
 
@@ -117,6 +117,7 @@
         self.number = number
         self.incarnation = incarnation
         self.age = age
+        self.version = 1
         self.links: list[Peer] = []
         self.scope = trio.CancelScope()
 
@@ -143,7 +144,7 @@
 
     def _react(self, message: Any) -> Any:
         if isinstance(message, Hello):
-            return Welcome(1, self.name, self.incarnation, self.age)
+            return Welcome(self.version, self.name, self.incarnation, self.age)
         return None
 
     def row(self, phase: Any = "in-service") -> Row:
@@ -161,9 +162,12 @@
         self.register = Register("rig")
         self.list: Peer | None = None
         self.servers: dict[str, FakeServer] = {}
-        self.edge = EdgeProxy(edge, self.surroundings)
+        self.edge = self.make_edge()
         self.scope = trio.CancelScope()
 
+    def make_edge(self) -> EdgeProxy:
+        return EdgeProxy(self.terms, self.surroundings)
+
     async def server(self, name: str, number: int, **more: int) -> FakeServer:
         server = self.servers[name] = FakeServer(self, name, number, **more)
         await self.nursery.start(server.run)
@@ -184,9 +188,9 @@
             return Welcome(1, "list")
         return next(iter(self.register.answer(message)), None) if isinstance(message, Watch) else None
 
-    async def caller(self, name: str = "c0") -> Peer:
+    async def caller(self, name: str = "c0", newest: int = 1) -> Peer:
         stream = await self.network.connect("edge:1")
-        peer = Peer(stream, SetupSession(Hello((1, 1), "caller", name)))
+        peer = Peer(stream, SetupSession(Hello((1, newest), "caller", name)))
         await stream.send_all(peer.session.opening())
         self.nursery.start_soon(peer.read)
         await peer.next(Welcome)
@@ -201,18 +205,23 @@
         self.scope.cancel()
         await trio.sleep(0.01)
         self.surroundings = MemorySurroundings(self.network)
-        self.edge = EdgeProxy(self.terms, self.surroundings)
+        self.edge = self.make_edge()
         await self.nursery.start(self.run_edge)
 
 
+Sort = TypeVar("Sort", bound=Rig)
+
+
 @asynccontextmanager
-async def rigged(servers: int = 2, ini: str = INI) -> AsyncIterator[Rig]:
+async def rigged_as(
+    sort: type[Sort], servers: int = 2, ini: str = INI, version: int = 1
+) -> AsyncIterator[Sort]:
     """An edge with its list and warm servers s0, s1 ... up, all links made."""
     async with trio.open_nursery() as nursery:
-        rig = Rig(nursery, terms(ini))
+        rig = sort(nursery, terms(ini))
         await nursery.start(rig.network.serve, "list:1", rig.serve_list)
         for number in range(servers):
-            await rig.server(f"s{number}", number)
+            (await rig.server(f"s{number}", number)).version = version
         rig.register.change([server.row() for server in rig.servers.values()])
         await nursery.start(rig.run_edge)
         await trio.sleep(0.1)
@@ -220,5 +229,11 @@
         nursery.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def rigged(servers: int = 2, ini: str = INI) -> AsyncIterator[Rig]:
+    async with rigged_as(Rig, servers, ini) as rig:
+        yield rig
+
+
 def dial(dialog: str = "d1", first: int = 0, no_answer: int = 9 * SECOND, kind: str = "plain") -> setup.Setup:
     return setup.Setup(dialog=dialog, traffic_type=kind, no_answer=no_answer, first_choice=first)
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -69,6 +69,9 @@
 
 
 LEG = [server(10, "setup")]
+TAKEN = [dials(0), caller(1, "provisional"), (5, Lost, {"edge": "e0", "peer": "c0"})]
+BACK = caller(6, "resume", sent=True)
+STOOD = [dials(0), caller(1, "provisional"), caller(2, "stands"), (5, Lost, {"edge": "e0", "peer": "c0"})]
 CASES: list[tuple[str, set[int], list[Any]]] = [
     ("answered at the last moment", set(), [dials(0), caller(9 * SECOND, "declined")]),
     ("answered 1 ns late", {1}, [dials(0), caller(9 * SECOND + 1, "declined")]),
@@ -79,6 +82,18 @@
     ("a word after the answer", {1}, [dials(0), caller(5, "declined"), caller(6, "provisional")]),
     ("stands and ends", set(), [dials(0), caller(5, "stands"), caller(6, "ended")]),
     ("ends twice", {1}, [dials(0), caller(5, "stands"), caller(6, "ended"), caller(7, "ended")]),
+    ("back for it, and answered", set(), [*TAKEN, BACK, caller(7, "provisional"), caller(8, "declined")]),
+    ("back for it, and never answered", {1}, [*TAKEN, BACK]),
+    ("back for it, and answered 1 ns late", {1}, [*TAKEN, BACK, caller(9 * SECOND + 1, "declined")]),
+    ("back for it, and answered twice", {1}, [*TAKEN, BACK, caller(7, "declined"), caller(8, "declined")]),
+    ("told as taken, then unknown", {1}, [*TAKEN, BACK, caller(7, "unknown")]),
+    ("never told as taken, then unknown", set(), [TAKEN[0], TAKEN[2], BACK, caller(7, "unknown")]),
+    ("told again that it stands", set(), [*STOOD, BACK, caller(7, "stands"), caller(8, "ended")]),
+    ("told again without having asked", {1}, [*STOOD, caller(7, "stands")]),
+    ("stood, and another answer", {1}, [*STOOD, BACK, caller(7, "declined")]),
+    ("stood, and a provisional", {1}, [*STOOD, BACK, caller(7, "provisional")]),
+    ("stood, and unknown", set(), [*STOOD, BACK, caller(7, "unknown")]),
+    ("stood, unknown, and a word after", {1}, [*STOOD, BACK, caller(7, "unknown"), caller(8, "ended")]),
     ("held through its time", set(), [dials(0), fault(8 * SECOND, 10 * SECOND, "balancer_stall")]),
     (
         "held, and answered late",
@@ -193,3 +208,14 @@
     assert (one.offered, one.tries, one.in_objective, one.late) == (4, 6, 2, 1)
     assert one.answers == {"declined": 1, "stands": 5, "cut": 2}
     assert service(account(rows), {"p": 2.0}) == 0.5
+
+
+def test_what_stood_is_counted_once_however_often_it_is_told_and_a_later_try_anew() -> None:
+    lost = (5, Lost, {"edge": "e0", "peer": "c0"})
+    back = [caller(2 * SECOND, "resume", sent=True), caller(3 * SECOND, "stands")]
+    one = account(record(dials(0), caller(4, "stands"), lost, *back))["p"]
+    assert (one.in_objective, one.late, one.answers["stands"]) == (1, 0, 1)
+    # Its edge proxy died without a word: no `ended` tells of the cut, the try that stood in its place does.
+    again = [dials(2 * SECOND, "d.2"), caller(3 * SECOND, "stands", "d.2")]
+    one = account(record(dials(0), caller(4, "stands"), lost, *again))["p"]
+    assert (one.in_objective, one.late, one.answers["stands"]) == (0, 1, 2)
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -17,7 +17,7 @@
 import trio
 from trio.testing import MockClock
 
-from tests.rig import MS, SECOND, Peer, Rig, dial, rigged
+from tests.rig import MS, SECOND, Peer, Rig, dial, rigged, rigged_as
 from valverouter.audit.account import account, service
 from valverouter.audit.rules import Verdict, audit
 from valverouter.days.emulated import plans, run_emulated
@@ -26,14 +26,13 @@
 from valverouter.days.world import World
 from valverouter.edge.keeping import KeepingProxy
 from valverouter.edge.owed import Owed
+from valverouter.edge.proxy import EdgeProxy
 from valverouter.emulator.fleet import Fleet
 from valverouter.interface import AttemptTerms, Outcome
 from valverouter.ledger.store import Ledger
 from valverouter.recovery.course import Moment, Phase, Record
 from valverouter.recovery.decide import attempts_left
 from valverouter.signalling import setup, tap
-from valverouter.signalling.greeting import Hello, Welcome
-from valverouter.signalling.setup import SetupSession
 from valverouter.terms.day import Day, day
 from valverouter.terms.ini import IniFile
 
@@ -52,49 +51,32 @@
 
 
 class Kept(Rig):
-    """The rig with an edge proxy on a store; its servers welcome in version 2."""
+    """The rig with an edge proxy on a store."""
 
-    store: MemoryStore
+    def make_edge(self) -> EdgeProxy:
+        # The store outlives each edge proxy: made with the first, before the rig is whole.
+        self.store: MemoryStore = getattr(self, "store", None) or MemoryStore()
+        return KeepingProxy(self.terms, self.surroundings, self.store)
 
     async def again(self, moved: int = 0, boot: str = "memory") -> None:
         """Kills the edge proxy and starts another on its store; `moved`: the wall clock in between."""
         self.scope.cancel()
         await trio.sleep(0.01)
-        await self.begin(moved, boot)
-        await trio.sleep(0.1)
-
-    async def begin(self, moved: int = 0, boot: str = "memory") -> None:
         self.surroundings = MemorySurroundings(self.network)
         if moved or boot != "memory":
             now = self.surroundings.moment
             self.surroundings.moment = lambda: Moment(now().wall + moved, now().monotonic, boot)  # type: ignore[method-assign]
-        self.edge = KeepingProxy(self.terms, self.surroundings, self.store)
+        self.edge = self.make_edge()
         await self.nursery.start(self.run_edge)
+        await trio.sleep(0.1)
 
-    async def caller(self, name: str = "c0") -> Peer:
-        stream = await self.network.connect("edge:1")
-        peer = Peer(stream, SetupSession(Hello((1, 2), "caller", name)))
-        await stream.send_all(peer.session.opening())
-        self.nursery.start_soon(peer.read)
-        await peer.next(Welcome)
-        return peer
+    async def caller(self, name: str = "c0", newest: int = 2) -> Peer:
+        return await super().caller(name, newest)
 
 
 @asynccontextmanager
 async def kept(servers: int = 2, version: int = 2) -> AsyncIterator[Kept]:
-    async with rigged(servers) as plain:
-        rig = Kept.__new__(Kept)
-        rig.__dict__ = plain.__dict__
-        rig.store = MemoryStore()
-        for server in rig.servers.values():
-
-            def react(message: Any, server: Any = server) -> Any:
-                if isinstance(message, Hello):
-                    return Welcome(version, server.name, server.incarnation, server.age)
-                return None
-
-            server._react = react  # type: ignore[method-assign]
-        await rig.again()
+    async with rigged_as(Kept, servers, version=version) as rig:
         yield rig
 
 
@@ -103,12 +85,22 @@
     with trio.fail_after(within):
         while True:
             for server in rig.servers.values():
-                for at, message in server.link.heard[server.link._taken :]:
-                    if isinstance(message, kind) and at >= 0:
+                for _, message in server.link.heard[server.link._taken :]:
+                    if isinstance(message, kind):
                         return server.link, await server.link.next(kind)
             await trio.sleep(0.01)
 
 
+async def stood(rig: Kept) -> tuple[Peer, Peer, Any]:
+    """A dialog that stands: its caller, the link that it stands on, and its leg."""
+    caller = await rig.caller()
+    await caller.send(dial())
+    link, leg = await leg_at(rig)
+    await link.send(setup.Stands("d1", leg.leg))
+    await caller.next(setup.Stands)
+    return caller, link, leg
+
+
 async def test_an_answer_given_before_the_kill_is_given_again_the_same(autojump_clock: MockClock) -> None:
     async with kept(0) as rig:
         caller = await rig.caller()
@@ -164,18 +156,14 @@
 
 async def test_what_stands_outlives_the_kill_and_its_end_is_told(autojump_clock: MockClock) -> None:
     async with kept() as rig:
-        caller = await rig.caller()
-        await caller.send(dial())
-        link, leg = await leg_at(rig)
-        await link.send(setup.Stands("d1", leg.leg))
-        await caller.next(setup.Stands)
+        _, link, leg = await stood(rig)
         assert (await leg_at(rig, setup.Kept))[1] == setup.Kept("d1", leg.leg)
         await rig.again()
         link, resumed = await leg_at(rig, setup.Resume)
         await link.send(setup.Stands("d1", resumed.leg))
         back = await rig.caller()
         await back.send(setup.Resume("d1"))
-        assert await back.next(setup.Stands) == setup.Stands("d1", 0, (link.session.peer and "s0") or "")
+        assert await back.next(setup.Stands) == setup.Stands("d1", 0, "s0")
         await link.send(setup.Ended("d1", resumed.leg, "over"))
         assert (await back.next(setup.Ended)).reason == "over"
         await trio.sleep(0.1)
@@ -187,11 +175,7 @@
     how: str, autojump_clock: MockClock
 ) -> None:
     async with kept(1, version=1 if how == "older version" else 2) as rig:
-        caller = await rig.caller()
-        await caller.send(dial())
-        link, leg = await leg_at(rig)
-        await link.send(setup.Stands("d1", leg.leg))
-        await caller.next(setup.Stands)
+        _, link, _ = await stood(rig)
         if how == "another process":
             rig.servers["s0"].incarnation += 1
         await rig.again()
@@ -283,11 +267,7 @@
 @pytest.mark.parametrize("how", ["held", "unknown", "refused", "gone from the list"])
 async def test_what_stands_over_a_link_that_breaks(how: str, autojump_clock: MockClock) -> None:
     async with kept(1) as rig:
-        caller = await rig.caller()
-        await caller.send(dial())
-        link, leg = await leg_at(rig)
-        await link.send(setup.Stands("d1", leg.leg))
-        await caller.next(setup.Stands)
+        caller, link, leg = await stood(rig)
         server, began = rig.servers["s0"], trio.current_time()
         if how == "gone from the list":
             await rig.tell(server.row("gone"))
@@ -338,11 +318,7 @@
     reason: str, autojump_clock: MockClock
 ) -> None:
     async with kept() as rig:
-        caller = await rig.caller()
-        await caller.send(dial())
-        link, leg = await leg_at(rig)
-        await link.send(setup.Stands("d1", leg.leg))
-        await caller.next(setup.Stands)
+        caller, link, leg = await stood(rig)
         await caller.cut()
         await trio.sleep(0.05)
         await link.send(setup.Ended("d1", leg.leg, reason))
@@ -431,11 +407,7 @@
             departs()
 
         monkeypatch.setattr(rig.edge._departures, "end", end)
-        caller = await rig.caller()
-        await caller.send(dial())
-        link, leg = await leg_at(rig)
-        await link.send(setup.Stands("d1", leg.leg))
-        await caller.next(setup.Stands)
+        await stood(rig)
         assert seen and not any(pending for _, pending in seen)
 
 
--- a/valverouter/audit/account.py
+++ b/valverouter/audit/account.py
@@ -44,7 +44,7 @@
     callers = {row.peer for row in whole if isinstance(row, Passed) and row.sent and row.kind == "setup"}
     accounts: dict[str, Account] = defaultdict(Account)
     chains: dict[str, _Chain] = {}
-    asked: dict[str, Passed] = {}
+    stood: set[str] = set()
     for row in whole:
         if not isinstance(row, Passed) or not row.dialog:
             continue
@@ -54,7 +54,6 @@
                 accounts[row.word].legs += 1
             continue
         if row.sent and row.kind == "setup":
-            asked[row.dialog] = row
             accounts[row.word].tries += 1
             if first not in chains:
                 accounts[row.word].offered += 1
@@ -63,8 +62,10 @@
                 chains[first].first_at = row.at
         elif not row.sent and row.kind in (*FINAL, "ended") and first in chains:
             chain = chains[first]
-            if row.kind == "stands" and chain.served in ("in", "late"):
-                continue  # told again to a caller that came back
+            if row.kind == "stands":
+                if row.dialog in stood:
+                    continue  # told again to a caller that came back; a later try that stands is another
+                stood.add(row.dialog)
             if row.kind in FINAL:
                 accounts[chain.kind].answers[row.kind] += 1
             if row.kind == "stands":
--- a/valverouter/edge/keeping.py
+++ b/valverouter/edge/keeping.py
@@ -88,11 +88,12 @@
 
     def _tell_kept(self, taken: Taken) -> None:
         """That it stands is on record here: the server need not cut it should this connection go."""
-        link, key = taken.link, (taken.setup.dialog, taken.leg)
+        link = taken.link
         if link is None or taken.leg is None or not link.resumes:
             return
-        if key in link.legs and not link.has_closed((key[0], taken.leg)):
-            link.send(setup.Kept(taken.setup.dialog, taken.leg))
+        key = taken.setup.dialog, taken.leg
+        if key in link.legs and not link.has_closed(key):
+            link.send(setup.Kept(*key))
 
     def _answer(self, taken: Taken, message: setup.Declined | setup.Aborted | setup.Stands) -> None:
         if self._now < taken.deadline and not isinstance(message, setup.Stands):
--- a/valverouter/ledger/store.py
+++ b/valverouter/ledger/store.py
@@ -111,16 +111,18 @@
     def _cover(self) -> None:
         # A file that was cut off is mapped past its end, and reading there ends the process by a signal, at
         # every start anew. Covered with noughts, its missing pages read as damaged.
-        info, file = self._env.info(), self.path / "data.mdb"
-        needs = (info["last_pgno"] + 1) * self._env.stat()["psize"]
-        if file.stat().st_size < needs:
+        file = self.path / "data.mdb"
+        if file.stat().st_size < (needs := self.used()):
             os.truncate(file, needs)
 
     def check(self) -> None:
-        """Reads every entry once; LedgerError where the store's own pages are damaged, not an entry alone."""
+        """Walks every page once; LedgerError where the store's own are damaged, not an entry alone. What the
+        entries say is for whoever reads them."""
         try:
-            for _ in (*self.records(), *self.learnt()):
-                pass
+            for table in (self._dialogs, self._servers):
+                with self._env.begin(db=table) as txn, closing(txn.cursor()) as cursor:
+                    for _ in cursor:
+                        pass
         except lmdb.Error as error:
             raise LedgerError(f"{self.path}: {error}") from error
 
--- a/valverouter/terms/day.py
+++ b/valverouter/terms/day.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Annotated
 
@@ -214,7 +215,7 @@
 
     @property
     def server_count(self) -> int:
-        return sum(region.servers for region in self.regions.values())
+        return _servers(self.regions)
 
 
 def day(ini: IniFile, name: str) -> Day:
@@ -272,7 +273,7 @@
     )
 
 
-def _servers(regions: dict[str, Region | None]) -> int:
+def _servers(regions: Mapping[str, Region | None]) -> int:
     return sum(region.servers for region in regions.values() if region)
 
 
