The command line is a file a group; the edge proxy gives up its books and its changing terms

Cause: cli/__main__.py held 635 lines and edge/proxy.py 875, and edge/events.py, links.py and listener.py went round in a circle.

Change: each command group is a file; books.py holds what is written down of a dialog, changing.py the terms that act and the way back; an event is declared beside the connection that tells it, so links and listener need nothing of events.py. proxy.py has 748 lines.

--- /dev/null
+++ b/valverouter/cli/attempts.py
@@ -0,0 +1,157 @@
+"""`valverouter terms ...`: timers and attempts by class and route."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+import click
+
+from valverouter.attempts.courses import courses, longest
+from valverouter.audit.attempts import seen
+from valverouter.cli import tables
+from valverouter.cli.common import BROKEN, FILE, console
+from valverouter.edge.attempting import AttemptBook
+from valverouter.signalling import tap
+from valverouter.terms.edge import load_edge_terms
+from valverouter.terms.ini import FlawedTermsError, show_span, span
+
+# The callers' no-answer time where a command is told none.
+SHOWN_NO_ANSWER = 9 * 10**9
+
+
+@click.group()
+def terms() -> None:
+    """Timers and attempts by class and route."""
+
+
+def of_dialog(command: Callable[..., None]) -> Callable[..., None]:
+    """The options that say which dialog is meant, beside its class."""
+    for option in (
+        click.option("--first-choice", default=-1, help="The number of its first choice; -1: none."),
+        click.option("--peer", default="", help="The caller's name, which decides on the trunk group."),
+        click.option("--number", default=0, help="The number called."),
+    ):
+        command = option(command)
+    return command
+
+
+@terms.command("check")
+@click.argument("files", type=FILE, nargs=-1, required=True)
+def terms_check(files: tuple[Path, ...]) -> None:
+    """Check each of FILES whole; prints every flaw with file, line, key and reason. Exits with 2 for any."""
+    flaws = []
+    for file in files:
+        try:
+            book = AttemptBook(loaded := load_edge_terms(file))
+        except FlawedTermsError as error:
+            flaws += error.flaws
+            continue
+        sections = len(loaded.attempts.sections)
+        console.print(f"{file}: sound, {sections} sections of attempts", highlight=False, soft_wrap=True)
+        for kind in loaded.deployment.traffic_types:
+            most = max(course.legs for course in courses(book.reckoned(kind, 0, SHOWN_NO_ANSWER)))
+            console.print(f"  {kind}: {most} legs at most", highlight=False)
+    if flaws:
+        raise FlawedTermsError(flaws)
+
+
+@terms.command("explain")
+@click.argument("file", type=FILE)
+@click.option("--class", "traffic_type", required=True, help="The dialog's traffic type.")
+@of_dialog
+def terms_explain(file: Path, traffic_type: str, number: int, peer: str, first_choice: int) -> None:
+    """Each effective value for such a dialog at FILE's edge proxy, and the line that it comes from."""
+    loaded = load_edge_terms(file)
+    if traffic_type not in loaded.deployment.traffic_types:
+        raise ValueError(f"{file}: there is no [traffic {traffic_type}]")
+    for key, one in AttemptBook(loaded).explain(traffic_type, number, peer, first_choice).items():
+        console.print(
+            f"{key:14} {_shown(key, one.value):10} {one.rule}", highlight=False, markup=False, soft_wrap=True
+        )
+
+
+def _shown(key: str, value: float) -> str:
+    if key in ("legs", "legs_in_all", "tokens", "fraction"):
+        return f"{value:g}" if value else "the fleet's"
+    return show_span(int(value)) if value else "none"
+
+
+@terms.command("courses")
+@click.argument("file", type=FILE)
+@click.option("--no-answer", default="9s", show_default=True, help="The callers' no-answer time.")
+@click.option("--chart", is_flag=True, help="Each type's course as a bar on one scale of time.")
+@of_dialog
+def terms_courses(file: Path, no_answer: str, chart: bool, number: int, peer: str, first_choice: int) -> None:
+    """The longest course that FILE's terms allow each traffic type, step by step."""
+    loaded = load_edge_terms(file)
+    book = AttemptBook(loaded)
+    within = span(no_answer) - loaded.answer_margin
+    if within <= 0:
+        raise ValueError(f"no-answer time {no_answer} leaves nothing past the answer margin")
+    found = {
+        kind: longest(book.reckoned(kind, number, within, peer, first_choice))
+        for kind in loaded.deployment.traffic_types
+    }
+    if chart:
+        tables.print_courses(console, found, within)
+        return
+    for kind, course in found.items():
+        console.print(
+            f"{kind}: answered at {show_span(course.answered_at)}, {course.legs} legs", highlight=False
+        )
+        for step in course.steps:
+            console.print(
+                f"  {show_span(step.at):>12}  {show_span(step.span):>12}  {step.what}", highlight=False
+            )
+
+
+@terms.command("diff")
+@click.argument("old", type=FILE)
+@click.argument("new", type=FILE)
+@of_dialog
+def terms_diff(old: Path, new: Path, number: int, peer: str, first_choice: int) -> None:
+    """What changes for whom between two files; exits with 1 when anything does.
+
+    By class, and for each of them by each route that a section of either file names.
+    """
+    before, after = load_edge_terms(old), load_edge_terms(new)
+    books, changed = (AttemptBook(before), AttemptBook(after)), False
+    for kind in {**before.deployment.traffic_types, **after.deployment.traffic_types}:
+        gone = [terms for terms in (before, after) if kind not in terms.deployment.traffic_types]
+        if gone:
+            changed = True
+            console.print(f"{kind}: {'new' if gone == [before] else 'gone'}", highlight=False)
+            continue
+        routes = {str(number): (number, peer, first_choice)} | {
+            name: route for book in books for name, route in book.routes().items()
+        }
+        for name, route in routes.items():
+            one, two = (book.explain(kind, *route) for book in books)
+            for key in one:
+                if one[key].value != two[key].value:
+                    changed = True
+                    was, now = _shown(key, one[key].value), _shown(key, two[key].value)
+                    console.print(
+                        f"{kind}, {name}: {key} {was} to {now}, {two[key].rule}",
+                        highlight=False,
+                        markup=False,
+                        soft_wrap=True,
+                    )
+    sys.exit(BROKEN if changed else 0)
+
+
+@terms.command("seen")
+@click.argument("records", type=FILE)
+def terms_seen(records: Path) -> None:
+    """Legs, time-outs and gaps by class in kept RECORDS, as the servers saw them."""
+    for kind, one in seen(tap.read(records)).items():
+        over = "none" if one.cancelled_after is None else " to ".join(map(show_span, one.cancelled_after))
+        gap = "none" if one.gap is None else show_span(one.gap)
+        console.print(
+            f"{kind}: {one.dialogs} dialogs, {one.legs} legs, at most {one.legs_most} each; "
+            f"let go after {over}; shortest wait after that {gap}",
+            highlight=False,
+            soft_wrap=True,
+        )
--- /dev/null
+++ b/valverouter/cli/common.py
@@ -0,0 +1,34 @@
+"""What the command groups share: exit codes, the console, how a file is named, and a day's verdict."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+from rich.console import Console
+
+from valverouter.audit.account import account
+from valverouter.audit.rules import audit
+from valverouter.cli import tables
+from valverouter.signalling import tap
+
+BROKEN, UNUSABLE, FAILED = 1, 2, 3
+
+FILE = click.Path(path_type=Path)
+console = Console()
+
+
+def show_verdict(rows: list[tap.Row]) -> None:
+    terms = next(row for row in rows if isinstance(row, tap.Terms))
+    verdict = audit(rows)
+    tables.print_accounts(console, account(rows), terms.importance)
+    tables.print_verdict(console, verdict)
+    if not verdict.kept:
+        sys.exit(BROKEN)
+
+
+def leaf(error: BaseException) -> BaseException:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- /dev/null
+++ b/valverouter/cli/crossings.py
@@ -0,0 +1,53 @@
+"""`valverouter regions ...`: what crossed from region to region."""
+
+from __future__ import annotations
+
+import dataclasses
+from pathlib import Path
+
+import click
+import msgspec
+import structlog
+
+from valverouter.cli import tables
+from valverouter.cli.common import FILE, console
+from valverouter.days.planning import plan_of
+from valverouter.regions.accounts import by_minute, merged, missing
+from valverouter.signalling import tap
+from valverouter.terms.day import load_day
+
+log = structlog.get_logger()
+
+
+@click.group()
+def regions() -> None:
+    """What crossed from region to region, and what had better."""
+
+
+@regions.command("report")
+@click.argument("files", type=FILE, nargs=-1, required=True)
+@click.option("--edges", default=0, help="How many there are, to tell what is missing.")
+@click.option("--json", "as_json", is_flag=True, help="Rows as JSON in place of tables.")
+def regions_report(files: tuple[Path, ...], edges: int, as_json: bool) -> None:
+    """Merge the accounts that edge proxies left in FILES, by traffic type and pair of regions."""
+    books = [[msgspec.json.decode(line) for line in file.read_bytes().splitlines()] for file in files]
+    whole, gaps = merged(books), missing(books, edges)
+    if as_json:
+        lines = [{"line": line, **dataclasses.asdict(tally)} for line, tally in whole.items()]
+        click.echo(msgspec.json.encode({"lines": lines, "missing": gaps}).decode())
+        return
+    tables.print_crossings(console, whole, by_minute(books))
+    for gap in gaps:
+        console.print(f"missing: {gap}")
+
+
+@regions.command("plan")
+@click.argument("file", type=FILE)
+@click.argument("records", type=FILE)
+def regions_plan(file: Path, records: Path) -> None:
+    """The least crossing that carries what RECORDS of the day in FILE show, within its capacities and
+    budgets.
+
+    It advises; nothing is steered by it.
+    """
+    tables.print_plan(console, plan_of(load_day(file), tap.read(records)))
--- /dev/null
+++ b/valverouter/cli/edging.py
@@ -0,0 +1,111 @@
+"""`valverouter edge`: one edge proxy, its store and its signals."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+
+import click
+import structlog
+import trio
+
+from valverouter.cli.common import FAILED, FILE, leaf
+from valverouter.edge import logs
+from valverouter.edge.keeping import edge_proxy
+from valverouter.edge.proxy import EdgeProxy
+from valverouter.edge.surroundings import Sockets, long_lived
+from valverouter.ledger.store import Ledger, LedgerBusyError, LedgerError
+from valverouter.terms.edge import EdgeTerms, load_edge_terms, load_settled
+from valverouter.terms.ini import FlawedTermsError
+
+log = structlog.get_logger()
+
+
+@click.command()
+@click.argument("file", type=FILE)
+def edge(file: Path) -> None:
+    """Run an edge proxy by the terms in FILE until SIGTERM or SIGINT.
+
+    Logs go to standard error. SIGHUP reads FILE again. SIGTERM takes no more dialogs, lets those here have
+    their answers, and ends.
+    """
+    terms = load_edge_terms(file)
+    logs.set_up(terms.log)
+    try:
+        trio.run(_edge, terms, file)
+    except* (OSError, LedgerError) as group:
+        log.error("could-not-run", why=str(leaf(group)), listen=terms.listen)
+        sys.exit(FAILED)
+
+
+async def _edge(terms: EdgeTerms, file: Path) -> None:
+    with _store(terms) as store:
+        surroundings = Sockets(terms.links.silence)
+        proxy = edge_proxy(terms, surroundings, store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_signals, proxy, file)
+            long_lived()
+            await proxy.run()
+            nursery.cancel_scope.cancel()
+
+
+@contextmanager
+def _store(terms: EdgeTerms) -> Iterator[Ledger | None]:
+    """The ledger of the terms. One that can't be read is set aside whole: what it held is lost, and no reason
+    to serve nobody."""
+    told = terms.ledger
+    if not told.folder:
+        yield None
+        return
+    folder = Path(told.folder)
+    try:
+        store = Ledger(folder, told.most, told.sync)
+        try:
+            store.check()
+        except LedgerError:
+            store.close()
+            raise
+    except LedgerBusyError:
+        raise
+    except LedgerError as error:
+        aside = folder.with_name(f"{folder.name}.aside-{time.time_ns()}")
+        folder.rename(aside)
+        log.error("ledger-set-aside", why=str(error), to=str(aside))
+        store = Ledger(folder, told.most, told.sync)
+    with store:
+        yield store
+
+
+async def _signals(proxy: EdgeProxy, file: Path) -> None:
+    """However often it is asked, one reading goes on at a time and one more waits; a stop waits for none."""
+    ask, asked = trio.open_memory_channel[None](1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_reloads, proxy, file, asked)
+        await _heard(proxy, ask)
+
+
+async def _heard(proxy: EdgeProxy, ask: trio.MemorySendChannel[None]) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for number in signals:
+            if number != signal.SIGHUP:
+                proxy.stop()
+                continue
+            with suppress(trio.WouldBlock):
+                ask.send_nowait(None)
+
+
+async def _reloads(proxy: EdgeProxy, file: Path, asked: trio.MemoryReceiveChannel[None]) -> None:
+    """Reads FILE when asked. Whatever it holds, the terms that act stay and the instance goes on: a fault of
+    ours in reading it must not be worse than the file."""
+    async for _ in asked:
+        try:
+            terms = await load_settled(file)
+            proxy.reload(terms, await trio.to_thread.run_sync(proxy.book_of, terms), str(file))
+        except FlawedTermsError as error:
+            proxy.refuse_reload(str(file), str(error), flaws=len(error.flaws))
+        except Exception as error:
+            proxy.refuse_reload(str(file), f"{type(error).__name__}: {error}", exc_info=True)
--- /dev/null
+++ b/valverouter/cli/experimenting.py
@@ -0,0 +1,105 @@
+"""`valverouter experiment ...`: factors, levels and seeds on the emulator."""
+
+from __future__ import annotations
+
+from contextlib import closing
+from pathlib import Path
+
+import click
+import structlog
+from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
+
+from valverouter.cli import tables
+from valverouter.cli.common import FILE, console, show_verdict
+from valverouter.terms.day import load_day
+
+log = structlog.get_logger()
+
+
+@click.group()
+def experiment() -> None:
+    """Factors, levels and seeds on the emulator, kept and compared."""
+
+
+STORE = click.option("--store", type=FILE, default=Path("runs.db"), show_default=True, help="The kept runs.")
+
+
+@experiment.command("run")
+@click.argument("file", type=FILE)
+@STORE
+@click.option("--jobs", default=4, show_default=True, help="Processes at once.")
+def experiment_run(file: Path, store: Path, jobs: int) -> None:
+    """Play the runs of FILE that are not kept yet; cut off, it goes on where it was."""
+    # Here and below: scipy and all that comes with it cost half a second, which no edge proxy should start
+    # with.
+    from valverouter.experiments.plan import plan
+    from valverouter.experiments.runner import run_all
+
+    made = plan(file)
+    bars = Progress(TextColumn("{task.description}"), BarColumn(), TimeElapsedColumn(), console=console)
+    with bars:
+        task = bars.add_task(made.name)
+        played = run_all(
+            made.runs(), store, jobs, lambda done, every: bars.update(task, completed=done, total=every)
+        )
+    console.print(f"{played} runs played, the others were kept", highlight=False)
+
+
+@experiment.command("report")
+@click.argument("file", type=FILE)
+@STORE
+@click.option("--figure", default="service", show_default=True, help="Which figure is compared.")
+@click.option("--html", type=FILE, help="A page with charts in this file too.")
+def experiment_report(file: Path, store: Path, figure: str, html: Path | None) -> None:
+    """Means with their intervals, and paired differences from the baseline, of the kept runs of FILE."""
+    from valverouter.experiments.plan import plan
+    from valverouter.experiments.report import gathered, page
+    from valverouter.experiments.runner import Store
+
+    made = plan(file)
+    with closing(Store(store)) as kept:
+        cells = gathered(made, kept)
+    if not cells:
+        raise ValueError(f"{store}: no run of {file} is kept there; experiment run comes first")
+    tables.print_cells(console, cells, made.baseline, figure)
+    if html is not None:
+        html.write_text(page(made, cells, figure))
+
+
+@experiment.command("day")
+@click.argument("file", type=FILE)
+@click.option("--html", type=FILE, required=True, help="The page goes here.")
+def experiment_day(file: Path, html: Path) -> None:
+    """Emulate the day in FILE, print accounts and verdict, and draw it second by second on a page.
+
+    Exits with 1 when a rule was broken.
+    """
+    from valverouter.days.emulated import run_emulated
+    from valverouter.experiments.daypage import day_page
+
+    script = load_day(file)
+    emulated = run_emulated(script, sample_every=10**9)
+    html.write_text(day_page(script.name, emulated), "utf-8")
+    show_verdict(emulated.rows)
+
+
+@experiment.command("search")
+@click.argument("file", type=FILE)
+@click.option("--out", type=FILE, required=True, help="The day that was found goes here.")
+@click.option("--jobs", default=4, show_default=True, help="Processes at once.")
+def experiment_search(file: Path, out: Path, jobs: int) -> None:
+    """Seek the day on which the module loses most, or comes nearest to a broken rule, and cut it down."""
+    from valverouter.experiments.search import Judge, cut_down, found_file, load_search
+    from valverouter.experiments.search import search as seek
+
+    terms_, base, text = load_search(file)
+    judge = Judge(terms_, text, base.callers.rate)
+    found, score, judged = seek(terms_, base, judge, jobs)
+    console.print(f"{judged} days judged; the worst scores {score:+.3f}", highlight=False)
+    least, kept = cut_down(found, judge, 0.8 * score, terms_.budget // 4)
+    said = (
+        f"Found by a search for {terms_.seeks}: {kept:+.3f}, seed {terms_.seed}; cut down from {score:+.3f}."
+    )
+    out.write_text(found_file(least, text, base.callers.rate, said), "utf-8")
+    kinds = ", ".join(trouble.kind for trouble in least.troubles)
+    console.print(f"cut down to {kinds}: {kept:+.3f}; {out}", highlight=False, soft_wrap=True)
--- /dev/null
+++ b/valverouter/cli/playing.py
@@ -0,0 +1,152 @@
+"""Scripted days and what they leave: `day`, `audit`, `calls`, `check`, `standin`, `load`."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+
+import click
+import structlog
+import trio
+from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
+
+from valverouter.cli.common import FILE, console, show_verdict
+from valverouter.days.loopback import run_loopback
+from valverouter.days.recorded import calls_of
+from valverouter.days.virtual import run_virtual
+from valverouter.days.world import World
+from valverouter.edge import logs
+from valverouter.edge.attempting import AttemptBook
+from valverouter.edge.surroundings import Sockets
+from valverouter.regions.crossing import Crossing
+from valverouter.signalling import tap
+from valverouter.terms.calls import write_calls
+from valverouter.terms.day import Day, day, load_day
+from valverouter.terms.edge import Log, edge_terms
+from valverouter.terms.ini import IniFile
+
+log = structlog.get_logger()
+
+
+@click.command("day")
+@click.argument("file", type=FILE)
+@click.option("--virtual", is_flag=True, help="In virtual time, in memory: seconds, and exact.")
+@click.option("--records", type=FILE, help="Keep the rows of what passed in this file.")
+@click.option("--logs", "folder", type=FILE, help="Keep the edge proxies' files and logs in this folder.")
+def play(file: Path, virtual: bool, records: Path | None, folder: Path | None) -> None:
+    """Play the scripted day in FILE, print what callers got and the audit's verdict.
+
+    Exits with 1 when a rule was broken.
+    """
+    script = load_day(file)
+    logs.set_up(Log(level="error"))
+    if virtual:
+        with console.status(f"{script.name} in virtual time"):
+            rows = run_virtual(script)
+    else:
+        rows = _on_loopback(script, folder)
+    if records is not None:
+        tap.write(records, rows)
+    show_verdict(rows)
+
+
+def _on_loopback(script: Day, folder: Path | None) -> list[tap.Row]:
+    bars = Progress(TextColumn("{task.description}"), BarColumn(), TimeElapsedColumn(), console=console)
+    with tempfile.TemporaryDirectory() as passing, bars:
+        task = bars.add_task(f"{script.name} on loopback", total=1.0)
+        where = folder or Path(passing)
+        where.mkdir(parents=True, exist_ok=True)
+        return run_loopback(script, where, lambda share: bars.update(task, completed=share))
+
+
+@click.command("audit")
+@click.argument("records", type=FILE)
+def check_records(records: Path) -> None:
+    """Check the five rules over kept RECORDS; exits with 1 when one was broken."""
+    rows = tap.read(records)
+    if not any(isinstance(row, tap.Terms) for row in rows):
+        raise ValueError(f"{records}: holds no terms row, so there is nothing to check it against")
+    show_verdict(rows)
+
+
+@click.command("calls")
+@click.argument("records", type=FILE)
+@click.option("--out", type=FILE, required=True, help="The calls go here, as CSV.")
+def kept_calls(records: Path, out: Path) -> None:
+    """The first tries in kept RECORDS as a file that a day's `record` plays again."""
+    count = write_calls(out, calls_of(tap.read(records)))
+    console.print(f"{count} calls; {out}", highlight=False, soft_wrap=True)
+
+
+@click.command()
+@click.argument("file", type=FILE)
+def check(file: Path) -> None:
+    """Check an edge proxy's FILE, or a day's; prints every flaw with its line and reason."""
+    ini = IniFile.load(file)
+    if "edge" in ini.sections:
+        terms = edge_terms(ini)
+        AttemptBook(terms)
+        if terms.crossing is not None:
+            Crossing(terms.crossing, 0)
+        console.print(
+            f"{file}: an edge proxy's terms, {len(terms.deployment.traffic_types)} traffic types: sound"
+        )
+    else:
+        script = day(ini, file.stem)
+        console.print(f"{file}: a day with {len(script.troubles)} troubles: sound")
+
+
+@click.command()
+@click.argument("file", type=FILE)
+@click.option(
+    "--list", "list_at", default="127.0.0.1:0", show_default=True, help="Where the list service listens."
+)
+@click.option("--seconds", default=60.0, show_default=True, help="It ends by itself after so long.")
+def standin(file: Path, list_at: str, seconds: float) -> None:
+    """Run the stand-in setup servers and list service of a day's FILE, with its troubles but no callers."""
+    script = load_day(file)
+    trio.run(_standins, script, list_at, seconds)
+
+
+async def _standins(script: Day, list_at: str, seconds: float) -> None:
+    at = {"list": list_at}
+    world = World(script, Sockets(), script.terms.slack, lambda name: at.get(name, "127.0.0.1:0"))
+    with trio.move_on_after(seconds):
+        async with trio.open_nursery() as nursery:
+            await world.open(nursery)
+            console.print(f"list service at {world.list.address}")
+            for server in world.servers.values():
+                console.print(f"{server.name} at {server.address}")
+            await world.play()
+
+
+@click.command()
+@click.argument("file", type=FILE)
+@click.option("--rate", "rates", type=float, multiple=True, help="Dialogs a second; several: one run each.")
+@click.option("--seconds", default=5.0, show_default=True, help="How long each run dials.")
+@click.option("--find", is_flag=True, help="Find the highest rate that holds the objective.")
+@click.option("--share", default=0.99, show_default=True, help="Of those offered that must stand in it.")
+@click.option("--most", default=20_000.0, show_default=True, help="The highest rate that is tried.")
+@click.option("--against", type=FILE, help="Another day's file: runs of the two alternate.")
+@click.option("--rounds", default=3, show_default=True, help="Runs of each, where two are compared.")
+@click.option("--histogram", type=FILE, help="Keep the last run's delays here, as HdrHistogram text.")
+def load(
+    file: Path,
+    rates: tuple[float, ...],
+    seconds: float,
+    find: bool,
+    share: float,
+    most: float,
+    against: Path | None,
+    rounds: int,
+    histogram: Path | None,
+) -> None:
+    """Drive a real edge proxy of the day in FILE open-loop on loopback; delays from when each was due."""
+    from valverouter.cli import loads
+
+    if against is not None:
+        trio.run(loads.against, console, (file, against), rates or (100.0,), seconds, rounds)
+    elif find:
+        trio.run(loads.find, console, file, seconds, share, most)
+    else:
+        trio.run(loads.at_rates, console, file, rates or (100.0,), seconds, histogram)
--- a/valverouter/edge/events.py
+++ b/valverouter/edge/events.py
@@ -1,71 +1,33 @@
-"""What reaches the instance: each is handled in one turn, in the order of arrival."""
+"""What reaches the instance: each is handled in one turn, in the order of arrival.
+
+What a connection tells stands beside the connection's own code, which so needs nothing of this file.
+"""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-from valverouter.interface import ListScope, Outcome
+from valverouter.edge.attempting import AttemptBook
+from valverouter.edge.links import FromServer, LinkDown, LinkUp
+from valverouter.edge.listener import CallerLost, FromCaller
+from valverouter.edge.listing import ListHeard
+from valverouter.interface import Outcome
 from valverouter.recovery.decide import Need
-from valverouter.signalling import setup
-from valverouter.signalling.greeting import Welcome
-from valverouter.signalling.serverlist import Row
-
-if TYPE_CHECKING:
-    from valverouter.edge.attempting import AttemptBook
-    from valverouter.edge.links import Link
-    from valverouter.edge.listener import Caller
-    from valverouter.terms.edge import EdgeTerms
-
-
-@dataclass(frozen=True, slots=True)
-class FromCaller:
-    """A caller asks: Setup, Cancel or Release. `came_at`: when its last byte was read, 0: with its turn."""
-
-    caller: Caller
-    message: setup.OfLeg
-    came_at: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class CallerLost:
-    """A caller's connection is gone: nobody is left to hear the answers to its dialogs."""
-
-    caller: Caller
-
-
-@dataclass(frozen=True, slots=True)
-class FromServer:
-    """A server answers, or reports."""
-
-    link: Link
-    message: setup.OfLeg | setup.Reported
-
-
-@dataclass(frozen=True, slots=True)
-class LinkUp:
-    """A server's welcome: the link carries legs once the instance has heard who is there."""
-
-    link: Link
-    welcome: Welcome
-
-
-@dataclass(frozen=True, slots=True)
-class LinkDown:
-    """A link, or the attempt to make one, came to an end, with the legs that had left on it and those not."""
-
-    link: Link
-    why: str
-    sent: frozenset[tuple[str, int]]
-    unsent: frozenset[tuple[str, int]]
-
-
-@dataclass(frozen=True, slots=True)
-class ListHeard:
-    """Word of the server list."""
-
-    scope: ListScope
-    rows: list[Row]
+from valverouter.terms.edge import EdgeTerms
+
+__all__ = [
+    "CallerLost",
+    "Event",
+    "FromCaller",
+    "FromServer",
+    "LegOver",
+    "LinkDown",
+    "LinkUp",
+    "ListHeard",
+    "Mend",
+    "Reload",
+    "Stop",
+]
 
 
 @dataclass(frozen=True, slots=True)
--- a/valverouter/edge/keeping.py
+++ b/valverouter/edge/keeping.py
@@ -11,11 +11,12 @@
 from typing import Any
 
 from valverouter.edge.attempting import own_terms
+from valverouter.edge.books import Taken
 from valverouter.edge.events import CallerLost, FromCaller, LinkDown, LinkUp, Mend
 from valverouter.edge.links import Link
 from valverouter.edge.listener import Absent, Caller
 from valverouter.edge.owed import Keeps, Owed
-from valverouter.edge.proxy import EdgeProxy, Taken
+from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import Surroundings
 from valverouter.interface import Outcome, Report
 from valverouter.recovery.course import Phase, Record
--- a/valverouter/edge/links.py
+++ b/valverouter/edge/links.py
@@ -4,14 +4,15 @@
 
 from collections.abc import Callable, Hashable, Iterator
 from contextlib import contextmanager, suppress
+from dataclasses import dataclass
 from typing import Any
 
 import structlog
 import trio
 
-from valverouter.edge.events import FromServer, LinkDown, LinkUp
 from valverouter.edge.mail import Departures, Inbox, Outbox, Overfull
 from valverouter.edge.surroundings import READ, Surroundings
+from valverouter.signalling import setup
 from valverouter.signalling.framing import ProtocolError
 from valverouter.signalling.greeting import NEWEST, OLDEST, Hello, NotUnderstood, Session, Welcome
 from valverouter.signalling.setup import Provisional, SetupSession
@@ -22,6 +23,32 @@
 Wait = Callable[[int], int]
 
 
+@dataclass(frozen=True, slots=True)
+class FromServer:
+    """A server answers, or reports."""
+
+    link: Link
+    message: setup.OfLeg | setup.Reported
+
+
+@dataclass(frozen=True, slots=True)
+class LinkUp:
+    """A server's welcome: the link carries legs once the instance has heard who is there."""
+
+    link: Link
+    welcome: Welcome
+
+
+@dataclass(frozen=True, slots=True)
+class LinkDown:
+    """A link, or the attempt to make one, came to an end, with the legs that had left on it and those not."""
+
+    link: Link
+    why: str
+    sent: frozenset[tuple[str, int]]
+    unsent: frozenset[tuple[str, int]]
+
+
 @contextmanager
 def costs_this_alone(what: str, name: Callable[[], str]) -> Iterator[None]:
     """A fault nobody thought of, in one connection's task: without this net it would end the instance, and
--- a/valverouter/edge/listener.py
+++ b/valverouter/edge/listener.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
 import structlog
 import trio
 
-from valverouter.edge.events import CallerLost, FromCaller
 from valverouter.edge.links import costs_this_alone, say_farewell
 from valverouter.edge.mail import Departures, Inbox, Outbox, Overfull
 from valverouter.edge.surroundings import READ
+from valverouter.signalling import setup
 from valverouter.signalling.framing import ProtocolError
 from valverouter.signalling.greeting import Hello, NotUnderstood, Welcome
 from valverouter.signalling.setup import SetupSession
@@ -20,6 +21,22 @@
 log = structlog.get_logger()
 
 
+@dataclass(frozen=True, slots=True)
+class FromCaller:
+    """A caller asks: Setup, Cancel or Release. `came_at`: when its last byte was read, 0: with its turn."""
+
+    caller: Caller
+    message: setup.OfLeg
+    came_at: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLost:
+    """A caller's connection is gone: nobody is left to hear the answers to its dialogs."""
+
+    caller: Caller
+
+
 class Caller:
     """One caller's connection. `dialogs` are its open and standing ones; each leaves when it is over."""
 
--- a/valverouter/edge/listing.py
+++ b/valverouter/edge/listing.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Protocol
 
 import msgspec
@@ -10,7 +11,6 @@
 import trio
 
 from valverouter.edge.clock import Clock
-from valverouter.edge.events import ListHeard
 from valverouter.edge.links import Wait, costs_this_alone, say_farewell
 from valverouter.edge.mail import Inbox
 from valverouter.edge.surroundings import READ, Surroundings
@@ -23,6 +23,14 @@
 log = structlog.get_logger()
 
 
+@dataclass(frozen=True, slots=True)
+class ListHeard:
+    """Word of the server list."""
+
+    scope: ListScope
+    rows: list[Row]
+
+
 class Kept(msgspec.Struct):
     """The cached list: the rows as last heard, and the wall time of that."""
 
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -9,22 +9,19 @@
 
 import traceback
 import zlib
-from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import asdict, dataclass, field
 from functools import partial
 from typing import Any
 
 import msgspec
-import structlog
 import trio
 
-from valverouter.attempts.guard import Guard
-from valverouter.control import HEARTBEAT, OWN_BUDGET, retry_wait
-from valverouter.driver import Driver
+from valverouter.control import HEARTBEAT, retry_wait
 from valverouter.edge.attempting import AttemptBook
-from valverouter.edge.clock import Alarms, Clock
+from valverouter.edge.books import ENDS, OUTCOMES, LegForbiddenError, Taken, Tally, ended_of, report_of
+from valverouter.edge.changing import TermsInForce
+from valverouter.edge.clock import Alarms
 from valverouter.edge.events import (
     CallerLost,
     Event,
@@ -58,13 +55,12 @@
     ServerEntry,
     Subscribe,
 )
-from valverouter.regions.crossing import Crossing
 from valverouter.signalling import setup
 from valverouter.signalling.framing import ProtocolError
 from valverouter.signalling.greeting import Welcome
 from valverouter.signalling.setup import SetupSession
 from valverouter.terms.edge import EdgeTerms
-from valverouter.terms.ini import END, show_span
+from valverouter.terms.ini import show_span
 
 # A turn that comes so much later than the next beat was due shows that this process did not run.
 STALL_SHOWS = HEARTBEAT + 50_000_000
@@ -83,74 +79,24 @@
 # From so many alarms on those of legs long ended are taken out: a caller may ask for an hour of no-answer
 # time and have its answer at once. Twice what stays then, at least so many, sets the next time.
 ALARMS_LOOKED_AT = 1_024
-# How a dialog that stood may end; a server's other words are not counted apart.
-ENDS = ("over", "released", "cut")
 # How often what crossed is written to its file.
 ACCOUNTS_S = 10.0
 
-OUTCOMES: dict[type, Outcome] = {
-    setup.Stands: Outcome.STANDS,
-    setup.Ended: Outcome.ENDED,
-    setup.LineBusy: Outcome.LINE_BUSY,
-    setup.Full: Outcome.FULL,
-    setup.NoAgent: Outcome.NO_AGENT,
-    setup.Fault: Outcome.FAULT,
-    setup.Cancelled: Outcome.CANCELLED,
-    # Of a former self's leg that nobody waits for any more.
-    setup.Unknown: Outcome.RESET,
-}
+__all__ = ["OUTCOMES", "EdgeProxy"]
 
-log = structlog.get_logger()
 
-
-class LegForbiddenError(RuntimeError):
-    """The decisions wished for a leg that the rules forbid; the dialog is ended, the leg never sent."""
-
-
-@dataclass(slots=True)
-class Taken:
-    """A dialog that this instance has taken. `deadline` is its caller's; the decisions are told a little
-    less.
-
-    `leg` is the number of the one that is out or stands, on `link`; None: in a pause.
-    """
-
-    setup: setup.Setup
-    caller: Caller
-    deadline: int
-    leg: int | None = None
-    link: Link | None = None
-    legs: int = 0
-    stands: bool = False
-    released: bool = False
-    generation: int = 1
-
-
-@dataclass(slots=True)
-class Tally:
-    """What happened here since the start; `answers` and `legs` by word, in fixed memory."""
-
-    answers: Counter[str] = field(default_factory=Counter)
-    legs: Counter[str] = field(default_factory=Counter)
-    failures: int = 0
-    withheld: int = 0
-    stalls: int = 0
-
-
-class EdgeProxy:
+class EdgeProxy(TermsInForce):
     """An instance. Its tables hold what is open: dialogs leave with their end, links with the list's word."""
 
     def __init__(self, terms: EdgeTerms, surroundings: Surroundings) -> None:
-        self.terms = terms
+        super().__init__(terms, surroundings.wall())
         self.tally = Tally()
         self.address = ""
         self.ended = trio.Event()
         self._surroundings = surroundings
         # Told to peers: over 0 where what is taken here outlives a restart.
         self._epoch = 0
-        self._log = log.bind(edge=terms.name)
-        self._clock = Clock(surroundings.wall())
-        self.incarnation = self._clock.now()
+        self.incarnation = self._now
         self._inbox = Inbox()
         self._departures = Departures()
         self._alarms = Alarms()
@@ -160,14 +106,6 @@
         self._leaving: set[Link] = set()
         self._alarms_most = ALARMS_LOOKED_AT
         self._incarnations = Incarnations(terms.deployment.warm_after)
-        self._attempts = AttemptBook(terms) if terms.attempts else None
-        self.generation = 1
-        self._guard = Guard()
-        # The terms before the last change, for as long as the guard may go back to them.
-        self._former: EdgeTerms | None = None
-        self.crossing = Crossing(terms.crossing, self._clock.now()) if terms.crossing else None
-        self._driver = Driver(terms.deployment, terms.seed, self._clock.now(), self.crossing)
-        self._tell_budgets()
         self._list = self._make_list()
         self._draws = 0
         self._callers = 0
@@ -175,9 +113,8 @@
         self._refusal_told_at = 0
         self._last_failure = ""
         self._failures_alike = 0
-        self._looked_at = self._clock.now()
+        self._looked_at = self._now
         self._stopping = False
-        self._now = self._looked_at
         # When the dialog that is being taken came.
         self._came_at = self._looked_at
         self._handlers: dict[type, Callable[[Any], None]] = {
@@ -192,6 +129,12 @@
             Stop: lambda event: None,
         }
         self._nursery: trio.Nursery | None = None
+        self._tell_budgets()
+
+    @property
+    def stopping(self) -> bool:
+        """Whether it takes no more dialogs."""
+        return self._stopping
 
     @property
     def open_dialogs(self) -> int:
@@ -236,65 +179,6 @@
         """
         self._inbox.put(Reload(terms, book, file))
 
-    def book_of(self, terms: EdgeTerms) -> AttemptBook | None:
-        return AttemptBook(self._kept(terms)) if terms.attempts else None
-
-    def _kept(self, new: EdgeTerms) -> EdgeTerms:
-        """The present terms with what of the new ones may change while running."""
-        return msgspec.structs.replace(
-            self.terms, crossing=new.crossing, attempts=new.attempts, ends=new.ends
-        )
-
-    def _reload(self, event: Reload, back: bool = False) -> None:
-        new, old = event.terms, self.terms
-        if old.ends and not new.ends:
-            # A file cut off at a line's end may pass every check, with half of its sections.
-            self.refuse_reload(event.file, f"the file was cut off: its last line is not {END!r}")
-            return
-        keeps = self._kept(new)
-        changes = [name for name in old.__struct_fields__ if getattr(keeps, name) != getattr(new, name)]
-        try:
-            # Dialogs under way carry the attempt terms that they began with; the book is for those to come.
-            attempts = event.book or self.book_of(new)
-            if self.crossing is not None and new.crossing is not None:
-                self.crossing.change(new.crossing, self._now)
-        except Exception as error:  # flaws, and memory that runs out on the way
-            self.refuse_reload(event.file, str(error) or type(error).__name__)
-            return
-        self._attempts, self.terms = attempts, keeps
-        self._tell_budgets()
-        self._former = None if back else old
-        self.generation += 1
-        self._guard.changed(self._now, watch=not back)
-        if (self.crossing is None) != (new.crossing is None):
-            changes.append("crossing")
-        self._log.info(
-            "reloaded", generation=self.generation, file=event.file, back=back, waits_for_a_start=changes
-        )
-
-    def refuse_reload(self, file: str, why: str, **more: Any) -> None:
-        """Tells of terms that do not act, and which go on acting."""
-        self._log.error("reload-refused", generation=self.generation, file=file, why=why, **more)
-
-    def _tell_budgets(self) -> None:
-        book = self._attempts
-        if book is None:
-            self._guarded("", self._driver.budgets, {}, OWN_BUDGET)
-        else:
-            self._guarded("", self._driver.budgets, book.budgets(), book.budget_elsewhere())
-
-    def _judge(self, taken: Taken, declined: bool) -> None:
-        """Tells the guard of a final answer; where a change harms, says so, and goes back if the terms
-        allow."""
-        if taken.setup.traffic_type not in self.terms.deployment.traffic_types:
-            return  # a caller's own word; counted, each would stay
-        harm = self._guard.answered(self._now, taken.setup.traffic_type, declined, taken.legs)
-        if harm is None:
-            return
-        self._log.error("terms-harm", generation=self.generation, **asdict(harm))
-        if self._former is not None and self.terms.returns:
-            self._reload(Reload(self._former), back=True)
-
     # What an instance does that keeps a ledger
 
     def _begins(self) -> None:
@@ -477,7 +361,7 @@
 
     def _from_server(self, event: FromServer) -> None:
         if isinstance(event.message, setup.Reported):
-            told = _report(event.message.report) or Report()
+            told = report_of(event.message.report) or Report()
             self._guarded("", self._driver.report, event.link.server, told)
         else:
             self._answered(event.link, event.message)
@@ -718,7 +602,7 @@
         key = (message.dialog, message.leg)
         if key not in link.legs:
             return
-        report = _report(getattr(message, "report", None))
+        report = report_of(getattr(message, "report", None))
         taken = self._dialogs.get(message.dialog)
         closes = not isinstance(message, setup.Stands)
         if link.legs[key] or taken is None or taken.link is not link or taken.leg != message.leg:
@@ -731,7 +615,7 @@
                 self._guarded("", self._driver.report, link.server, report)
         elif isinstance(message, setup.Ended):
             del link.legs[key]
-            self._guarded("", self._driver.leg_result, _ended(message, link.server, report))
+            self._guarded("", self._driver.leg_result, ended_of(message, link.server, report))
             self._over(taken, message.reason)
         else:
             asked_wait = message.asked_wait if isinstance(message, setup.Full) else 0
@@ -863,13 +747,3 @@
             if self._number(dialog_id, taken.leg) != wish.leg:
                 return
             self._let_go(taken, Outcome.CANCELLED)
-
-
-def _report(load: setup.Load | None) -> Report | None:
-    if load is None:
-        return None
-    return Report(free_lines=load.free_lines, lines=load.lines, wait=load.wait)
-
-
-def _ended(message: setup.Ended, server: str, report: Report | None) -> LegResult:
-    return LegResult(message.dialog, message.leg, server, Outcome.ENDED, dialog_closed=True, report=report)
--- a/valverouter/relayedge/proxy.py
+++ b/valverouter/relayedge/proxy.py
@@ -7,10 +7,11 @@
 import structlog
 import trio
 
+from valverouter.edge.books import Taken
 from valverouter.edge.events import CallerLost, ListHeard
 from valverouter.edge.links import Link
 from valverouter.edge.listener import Caller
-from valverouter.edge.proxy import EdgeProxy, Taken
+from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import Surroundings
 from valverouter.relayedge.buslink import BusLink
 from valverouter.relayedge.callers import AnsweredIds, Connected, RelayCaller, Seldom, ToldStanding
