--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -762,20 +762,30 @@
     assert rig.said() == "s0"
 
 
-@pytest.mark.xfail(
-    strict=True, reason="the protocol asks that incarnations grow; a clock set back breaks that"
-)
 def test_a_server_started_again_under_a_smaller_incarnation_is_cold() -> None:
     known = Incarnations(warm_after=15 * SECOND)
     known.entry(Row("s0", 0, "in-service", "s0:1", "", 900, 3_600 * SECOND), 10_000 * SECOND)
     fresh = known.entry(Row("s0", 0, "in-service", "s0:1", "", 800, 0), 20_000 * SECOND)
     assert fresh.started_at == 20_000 * SECOND
+    late = known.entry(Row("s0", 0, "in-service", "s0:1", "", 900, 13_600 * SECOND), 20_001 * SECOND)
+    assert late.started_at == 20_000 * SECOND, "late word of the former self does not make it warm"
+    assert known.started_at("s0", 950, 0, 30_000 * SECOND) == 30_000 * SECOND, "the next start counts as ever"
 
 
-@pytest.mark.xfail(strict=True, reason="nothing is asked of the list service once it has told the list")
 async def test_a_list_service_that_went_silent_is_told_from_a_calm_one(autojump_clock: MockClock) -> None:
     async with rigged(1) as rig:
         assert rig.list is not None
         rig.list.reads = False
         await trio.sleep(600)
         assert not rig.edge._list.is_up
+        rig.list.reads = True
+
+
+async def test_a_calm_list_service_is_asked_and_keeps_its_connection(autojump_clock: MockClock) -> None:
+    async with rigged(1) as rig:
+        assert rig.list is not None
+        first = rig.list
+        await trio.sleep(600)
+        assert rig.edge._list.is_up and rig.list is first
+        asked = [at for at, message in first.heard if isinstance(message, Watch)]
+        assert 10 <= len(asked) <= 21, "once for each half minute in which nothing was told"
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,563 @@
+"""What instances say to each other, on sockets and in virtual time, and the rig of faults between
+processes."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from trio.testing import MockClock
+
+from tests.rig import terms
+from valverouter.audit.rules import audit
+from valverouter.audit.views import judge_views
+from valverouter.cli.__main__ import main
+from valverouter.days.loopback import run_loopback
+from valverouter.days.virtual import MemoryEdge, MemoryPlace, MemorySurroundings, run_virtual
+from valverouter.days.world import World
+from valverouter.edge.surroundings import Sockets
+from valverouter.fleet.asking import Heard, Query, Row, Shown, differences, is_settled, pages_of
+from valverouter.fleet.datagrams import FleetTask
+from valverouter.fleet.sealing import HEAD, MOST, VERSION, Envelope, Opener, Seal, TooLongError, Window
+from valverouter.fleet.tool import Asker
+from valverouter.membership.messages import Ask, Gossip, Ping, Sync
+from valverouter.membership.records import Phase, Record, State
+from valverouter.membership.rules import Rules
+from valverouter.signalling import tap
+from valverouter.signalling.tap import Fault, Found, Opened, Passed, Ran, Settles, Viewed
+from valverouter.terms.between import KEY_LEAST, Between, key_of
+from valverouter.terms.day import Day, day, load_day
+from valverouter.terms.edge import edge_terms
+from valverouter.terms.ini import FlawedTermsError, IniFile
+
+DAY = Path("deploy/days/fleet-faults.ini")
+KEY, OTHER = key_of(b"k" * 40), key_of(b"o" * 40)
+MS, SECOND = 10**6, 10**9
+
+
+# Datagrams
+
+
+def ping(life: int = 7, nonce: int = 1) -> Ping:
+    return Ping("e1", life, 5, nonce, 9)
+
+
+def test_only_those_with_a_key_are_heard_and_the_former_key_while_one_is_changed() -> None:
+    sealed = Seal((OTHER,)).seal(ping())
+    opener = Opener(Seal((KEY, OTHER)))
+    assert opener.open(sealed) == ping()
+    assert Opener(Seal((KEY,))).open(sealed) is None
+    for at in range(len(sealed)):
+        spoilt = bytearray(sealed)
+        spoilt[at] ^= 1
+        assert opener.open(bytes(spoilt)) is None, f"byte {at}"
+    assert set(opener.dropped) == {"stranger"}
+
+
+def test_a_replay_is_dropped_and_counted_and_an_overtaken_one_is_not() -> None:
+    seal, opener = Seal((KEY,)), Opener(Seal((KEY,)))
+    sealed = [seal.seal(ping(nonce=at)) for at in range(4)]
+    for at in (0, 2, 1, 3):
+        assert opener.open(sealed[at]) is not None
+    for at in range(4):
+        assert opener.open(sealed[at]) is None
+    assert opener.dropped == {"replay": 4}
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.integers(1, 3_000), max_size=120))
+def test_the_window_takes_no_counter_twice(counters: list[int]) -> None:
+    window = Window()
+    taken = [counter for counter in counters if window.is_new(5, counter)]
+    assert len(taken) == len(set(taken))
+    if counters:
+        assert max(counters) in taken
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.binary(max_size=1_500))
+def test_rubbish_is_dropped_whatever_it_is(data: bytes) -> None:
+    opener, seal = Opener(Seal((KEY,))), Seal((KEY,))
+    assert opener.open(data) is None
+    head = bytes((VERSION,)) + seal._mark
+    from valverouter.fleet.sealing import _digest
+
+    assert opener.open(head + _digest(KEY, head, data) + data) is None, "also under our own key"
+    assert sum(opener.dropped.values()) == 2
+
+
+def test_another_version_is_dropped_and_told_once() -> None:
+    from valverouter.fleet.sealing import _digest
+
+    seal, opener = Seal((KEY,)), Opener(Seal((KEY,)))
+    body = msgspec.msgpack.encode(Envelope(1, ping()))
+    head = bytes((VERSION + 1,)) + seal._mark
+    for _ in range(3):
+        assert opener.open(head + _digest(KEY, head, body) + body) is None
+    assert opener.strange == [VERSION + 1] and opener.dropped == {"version": 3}
+
+
+def test_the_longest_messages_fit_a_datagram_and_longer_ones_are_told() -> None:
+    name = "n" * 128
+    long = Record(
+        name,
+        "r" * 64,
+        9,
+        "[2001:db8:ffff:ffff:ffff:ffff:ffff:ffff]:65535",
+        2**60,
+        2**63,
+        9,
+        over=(2**63,) * 3,
+    )
+    seal, most = Seal((KEY,)), 2**64 - 1
+    page = (long,) * (Rules().room // long.size)
+    assert len(seal.seal(Sync(name, most, most, (most,) * 64, (long,)))) <= MOST
+    assert len(seal.seal(Ask(name, most, most, most, name, most, long.address, page))) <= MOST
+    row = Row(name, "r" * 64, 0, long.address, 2**60, 2**63, State.ALIVE, 2**40, "9" * 32, "c" * 8, 0, False)
+    counts = {f"dropped-{why}": 2**40 for why in ("oversize", "stranger", "version", "rubbish", "replay")}
+    for at, rows in enumerate(pages_of([row] * 20)):
+        shown = Shown(name, most, most, most, at, 99, "unsettled", counts if at == 0 else {}, rows)
+        assert len(seal.seal(shown)) <= MOST
+    with pytest.raises(TooLongError):
+        seal.seal(Gossip(name, most, most, (long,) * 9))
+
+
+# The terms
+
+SOUND = "[between]\nlisten = 127.0.0.1:0\nkey = KEY\nseeds = 127.0.0.1:7001, [::1]:7002\n"
+EDGE = """
+[edge]
+name = e0
+listen = 127.0.0.1:0
+list_service = 127.0.0.1:1
+
+[fleet]
+edge_proxies = 24
+
+[traffic plain]
+objective = 1s
+
+"""
+
+
+def key_file(folder: Path, text: str = "k" * 40, mode: int = 0o600) -> Path:
+    file = folder / "key"
+    file.write_text(text)
+    file.chmod(mode)
+    return file
+
+
+def test_a_sound_section(tmp_path: Path) -> None:
+    key_file(tmp_path)
+    ini = IniFile(EDGE + SOUND.replace("KEY", "key"), "e.ini", tmp_path)
+    between = edge_terms(ini).between
+    assert between is not None and between.keys == (KEY,)
+    assert between.seeds == ("127.0.0.1:7001", "[::1]:7002") and between.period == SECOND
+    assert edge_terms(IniFile(EDGE, "e.ini")).between is None, "without the section there is no view"
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ("key = KEY", "key = away", "[between] key: away: No such file"),
+        ("key = KEY", "key = open", "may be used by all (mode 644); 600 or 640 is wanted"),
+        ("key = KEY", "key = short", f"9 bytes are too short for a key; {KEY_LEAST} or more"),
+        ("key = KEY", "", "[between] key: missing, and it has no default"),
+        ("listen = 127.0.0.1:0", "listen = localhost:7", "'localhost:7' is no IP:PORT"),
+        ("listen = 127.0.0.1:0", "listen = 127.0.0.1:70000", "'127.0.0.1:70000' is no IP:PORT"),
+        ("[::1]:7002", "127.0.0.1:0", "'127.0.0.1:0' is nothing that others can send to"),
+        ("seeds =", "advertise = 0.0.0.0:5\nseeds =", "'0.0.0.0:5' is nothing that others can send to"),
+        ("seeds =", "period = 1ms\nseeds =", "[between] period"),
+        ("seeds =", "sedes = 1\nseeds =", "unknown key; did you mean seeds?"),
+    ],
+)
+def test_a_flawed_section_is_refused_with_its_line(tmp_path: Path, old: str, new: str, said: str) -> None:
+    key_file(tmp_path)
+    (tmp_path / "open").write_text("k" * 40)
+    (tmp_path / "open").chmod(0o644)
+    (tmp_path / "short").write_text("k" * 9)
+    (tmp_path / "short").chmod(0o600)
+    text = EDGE + SOUND.replace(old, new).replace("KEY", "key")
+    with pytest.raises(FlawedTermsError) as error:
+        edge_terms(IniFile(text, "e.ini", tmp_path))
+    flaw = str(error.value)
+    assert said in flaw and flaw.startswith("e.ini:1") and "\n" not in flaw
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ("kind = loss", "kind = los", "'los' is not known; known are loss, late"),
+        ("groups = north, south", "groups = north", "a split needs two groups or more"),
+        ("senders = e1", "senders = e9", "'e9' is neither an edge proxy nor a region of this day"),
+        (
+            "[between]\nperiod = 250ms\nremembers = 60s\nseeds = 2\nsettles = 30\n",
+            "",
+            "there is no [between]",
+        ),
+    ],
+)
+def test_flawed_faults_between_edge_proxies_are_refused(old: str, new: str, said: str) -> None:
+    with pytest.raises(FlawedTermsError) as error:
+        day(IniFile(DAY.read_text().replace(old, new), "d.ini"), "d")
+    assert said in str(error.value)
+
+
+async def test_the_program_says_what_it_can_not_start_with(tmp_path: Path) -> None:
+    key_file(tmp_path, mode=0o644)
+    file = tmp_path / "e.ini"
+    file.write_text(EDGE + SOUND.replace("KEY", "key"))
+    command = [sys.executable, "-m", "valverouter.cli", "edge", str(file)]
+    ended = await trio.run_process(command, capture_stderr=True, check=False)
+    assert ended.returncode == 2 and ended.stderr.count(b"\n") == 1 and b"[between] key" in ended.stderr
+    key_file(tmp_path)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+        taken.bind(("127.0.0.1", 0))
+        file.write_text(
+            file.read_text().replace(
+                "listen = 127.0.0.1:0\nkey", f"listen = 127.0.0.1:{taken.getsockname()[1]}\nkey"
+            )
+        )
+        ended = await trio.run_process(command, capture_stderr=True, check=False)
+    assert ended.returncode == 3 and b"could-not-run" in ended.stderr
+
+
+# The task, on sockets
+
+
+def task(
+    name: str, seeds: tuple[str, ...] = (), keys: tuple[bytes, ...] = (KEY,), listen: str = "127.0.0.1:0"
+) -> FleetTask:
+    told = named(name)
+    between = Between(listen, keys, seeds, period=100 * MS)
+    return FleetTask(
+        told, between, Sockets(), random.Random(name).getrandbits(64), lambda: (Phase.SERVING, "")
+    )
+
+
+def named(name: str) -> Any:
+    return msgspec.structs.replace(terms(), name=name)
+
+
+@asynccontextmanager
+async def running(*tasks: FleetTask) -> AsyncIterator[trio.Nursery]:
+    async with trio.open_nursery() as nursery:
+        for one in tasks:
+            await nursery.start(one.run)
+        yield nursery
+        nursery.cancel_scope.cancel()
+
+
+def at(one: FleetTask) -> str:
+    assert one.core is not None
+    return one.core.mine.address
+
+
+async def until(true: Any, within: float = 10.0) -> None:
+    with trio.fail_after(within):
+        while not true():
+            await trio.sleep(0.02)
+
+
+def living(one: FleetTask) -> set[str]:
+    assert one.core is not None
+    return {name for name in one.core.view.records if one.core.view.lives(name)}
+
+
+async def test_two_instances_find_each_other_on_sockets_and_one_leaves() -> None:
+    first = task("e0")
+    async with running(first) as nursery:
+        second = task("e1", (at(first),))
+        await nursery.start(second.run)
+        await until(lambda: living(first) == living(second) == {"e0", "e1"})
+        await until(lambda: first.core.trust.value == "settled")  # type: ignore[union-attr]
+        second.leave()
+        await second.ended.wait()
+        await until(lambda: living(first) == {"e0"}, 1.0)
+        assert first.counts["left"] == 1 and first.counts["gone"] == 0
+
+
+async def test_a_member_with_an_old_key_is_dropped_and_counted_and_comes_in_with_both() -> None:
+    first = task("e0")
+    async with running(first) as nursery:
+        old = task("e1", (at(first),), (OTHER,))
+        await nursery.start(old.run)
+        await until(lambda: first._opener.dropped["stranger"] > 2)
+        assert living(first) == {"e0"} and living(old) == {"e1"}
+        both = task("e2", (at(first),), (KEY, OTHER))
+        await nursery.start(both.run)
+        await until(lambda: living(first) == {"e0", "e2"})
+
+
+async def test_a_flood_of_forged_datagrams_is_never_answered_and_keeps_nobody_away() -> None:
+    """10,000 a second for a second and a half; the two go on hearing each other."""
+    first = task("e0")
+    async with running(first) as nursery:
+        second = task("e1", (at(first),))
+        await nursery.start(second.run)
+        await until(lambda: living(first) == {"e0", "e1"})
+        flood = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        flood.bind(("127.0.0.1", 0))
+        flood.setblocking(False)
+        host, _, port = at(first).rpartition(":")
+        forged = Seal((OTHER,)).seal(ping())
+        slowest, sent, began = 0.0, 0, trio.current_time()
+        while (now := trio.current_time()) - began < 1.5:
+            for _ in range(max(0, int((now - began) * 10_000) - sent)):
+                flood.sendto(forged, (host, int(port)))
+                sent += 1
+            before = trio.current_time()
+            await trio.sleep(0)
+            slowest = max(slowest, trio.current_time() - before)
+        await trio.sleep(0.3)
+        with pytest.raises(BlockingIOError):
+            flood.recvfrom(100)
+        flood.close()
+        assert first._opener.dropped["stranger"] > 1_000 and set(first._opener.dropped) == {"stranger"}
+        assert living(first) == living(second) == {"e0", "e1"} and first.counts["gone"] == 0
+
+
+async def test_a_question_is_answered_page_by_page_and_a_tool_is_no_member() -> None:
+    first = task("e0", ("127.0.0.1:9",))
+    async with running(first):
+        assert first.core is not None
+        for number in range(1, 60):
+            record = Record(f"e{number}", "north", number, f"127.0.0.1:{20_000 + number}", 1, number)
+            first.core.view.put(record, 0)
+        asker = Asker((KEY,), Sockets().datagrams("127.0.0.1:0"), random.Random(1))
+        first.core.tick = lambda now: None  # type: ignore[method-assign]  # those 59 are not there
+        heard, silent = await asker.ask([at(first), "127.0.0.1:9"])
+        assert heard.missing is None and heard.wanted > 3 and silent.missing == 0
+        assert [row.name for row in heard.rows if row.state != State.UNKNOWN] == sorted(
+            f"e{number}" for number in range(60)
+        )
+        assert [row.address for row in heard.rows if row.state == State.UNKNOWN] == ["127.0.0.1:9"]
+        assert first.core.view.living == 60 and heard.digest == first.core.view.digest
+
+
+def heard(name: str, digest: int, rows: list[Row], trust: str = "settled") -> Heard:
+    one = Heard(f"{name}:1")
+    one.take(Shown(name, hash(name), digest, 1, 0, 1, trust, {}, tuple(rows)))
+    return one
+
+
+def test_views_that_differ_are_shown_as_differing_and_never_one_as_the_truth() -> None:
+    def row(name: str, state: State = State.ALIVE) -> Row:
+        return Row(name, "", 0, f"{name}:1", 1, 1, state, 0, "", "", 0, False)
+
+    one, two = heard("e0", 5, [row("e0"), row("e1")]), heard("e1", 6, [row("e0", State.GONE), row("e1")])
+    assert differences([one, two]) == {
+        "e0": {"alive at e0:1, life 0000000000000001": ["e0"], "gone at e0:1, life 0000000000000001": ["e1"]}
+    }
+    assert not is_settled([one, two])
+    same = heard("e1", 5, [row("e0"), row("e1")])
+    assert is_settled([one, same]) and not is_settled([one, same, Heard("e2:1")]) and not is_settled([])
+    assert not is_settled([one, heard("e1", 5, [row("e0"), row("e1")], trust="cut off")])
+
+
+def test_fleet_view_of_a_file_without_the_section_and_of_nobody(tmp_path: Path) -> None:
+    file = tmp_path / "e.ini"
+    file.write_text(EDGE)
+    told = CliRunner().invoke(main, ["fleet", "view", str(file)])
+    assert isinstance(told.exception, ValueError) and "keeps no view" in str(told.exception)
+    key_file(tmp_path)
+    file.write_text(EDGE + SOUND.replace("KEY", "key"))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as nobody:
+        nobody.bind(("127.0.0.1", 0))
+        told = CliRunner().invoke(
+            main, ["fleet", "view", str(file), "--at", f"127.0.0.1:{nobody.getsockname()[1]}"]
+        )
+    assert told.exit_code == 2 and "nobody was reached" in told.output
+
+
+async def test_fleet_view_asks_whom_the_answers_name(tmp_path: Path) -> None:
+    key_file(tmp_path)
+    first = task("e0")
+    async with running(first) as nursery:
+        second = task("e1", (at(first),))
+        await nursery.start(second.run)
+        await until(lambda: first.core.trust.value == second.core.trust.value == "settled")  # type: ignore[union-attr]
+        file = tmp_path / "e.ini"
+        file.write_text(EDGE + SOUND.replace("KEY", "key").replace("127.0.0.1:7001, [::1]:7002", at(first)))
+
+        def ask(*words: str) -> Any:
+            return CliRunner().invoke(main, ["fleet", "view", str(file), *words])
+
+        told = await trio.to_thread.run_sync(ask)
+        assert told.exit_code == 0 and "settled: 2 asked, one view" in told.output
+        assert max(map(len, told.output.splitlines())) <= 80
+        told = await trio.to_thread.run_sync(ask, "--json")
+        page = msgspec.json.decode(told.output)
+        assert page["settled"] and {one["name"] for one in page["answers"]} == {"e0", "e1"}
+        told = await trio.to_thread.run_sync(ask, "--metrics")
+        assert 'valverouter_fleet_members{instance="e0",state="alive"} 2' in told.output
+        alone = f"{at(first).rpartition(':')[0]}:1"
+        told = await trio.to_thread.run_sync(ask, "--at", at(first), "--at", alone)
+        assert f"no answer from {alone}" in told.output
+
+
+# Days
+
+
+def changed(text: str = "", **terms_: Any) -> Day:
+    script = day(IniFile(DAY.read_text() + text, "d.ini"), "d")
+    return msgspec.structs.replace(script, terms=msgspec.structs.replace(script.terms, **terms_))
+
+
+def test_a_day_of_faults_between_them_in_virtual_time() -> None:
+    rows = run_virtual(load_day(DAY))
+    views = judge_views(rows)
+    assert views is not None and views.kept, views
+    assert not views.false_deaths and audit(rows).kept
+    assert {row.what for row in rows if isinstance(row, Found)} >= {
+        "joined",
+        "suspect",
+        "gone",
+        "refuted",
+        "cut-off",
+    }
+    assert [repr(row) for row in run_virtual(load_day(DAY))] == [repr(row) for row in rows]
+
+
+def test_a_day_of_faults_between_real_processes(tmp_path: Path) -> None:
+    """Six processes of the program for 22 s: loss, delay, repeats, a region cut off, a one-way cut, a kill, a
+    stop, a late join."""
+    rows = run_loopback(load_day(DAY), tmp_path)
+    views = judge_views(rows)
+    assert views is not None and views.kept, views
+    assert audit(rows).kept
+    found = {row.what for row in rows if isinstance(row, Found)}
+    assert found >= {"joined", "suspect", "gone", "refuted", "restarted", "stalled", "settled"}
+
+
+def test_with_the_view_every_word_to_callers_and_servers_is_as_without_it() -> None:
+    """No delay is drawn here: whose word comes first in the same moment depends on the order of tasks."""
+    script = changed(length=6 * SECOND)
+    script = msgspec.structs.replace(
+        script, troubles={}, delays=msgspec.structs.replace(script.delays, jitter=0.0)
+    )
+    without = msgspec.structs.replace(script, between=None, paths={})
+
+    def passed(one: Day) -> list[tuple[Any, ...]]:
+        rows = run_virtual(one)
+        (opened,) = [row.at for row in rows if isinstance(row, Opened)]
+        # Past that the day with the view goes on for as long as settling may take.
+        until = opened + one.terms.length
+        said = [row for row in rows if isinstance(row, Passed) and row.at < until]
+        return sorted(
+            (row.at, row.edge, row.peer, row.sent, row.kind, row.dialog, row.leg, row.span) for row in said
+        )
+
+    with_view = passed(script)
+    assert len(with_view) > 1_500 and with_view == passed(without)
+
+
+def test_without_the_section_an_edge_proxy_opens_no_socket_and_starts_no_task(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def refused(*args: Any) -> Any:
+        raise AssertionError("nobody asked for datagrams")
+
+    monkeypatch.setattr(MemorySurroundings, "datagrams", refused)
+    script = msgspec.structs.replace(changed(length=3 * SECOND), between=None, paths={}, troubles={})
+    assert audit(run_virtual(script)).kept
+
+
+def test_a_clock_set_back_an_hour_and_a_restart_of_the_program() -> None:
+    script = changed("\n[trouble back]\nkind = balancer_crash\nstart = 9s\nlength = 1s\non = e4\n")
+
+    def prepare(world: World, edges: list[MemoryEdge]) -> None:
+        edges[4].wall_back = 3_600 * SECOND
+
+    rows = run_virtual(script, prepare)
+    views = judge_views(rows)
+    assert views is not None and views.kept, views
+
+
+def test_asked_to_end_it_leaves_and_nobody_has_to_find_out() -> None:
+    leave = "\n[trouble back]\nkind = balancer_leave\nstart = 3s\nlength = 3s\non = e4\n"
+    script = msgspec.structs.replace(changed(leave), paths={})
+    script = msgspec.structs.replace(script, troubles={"back": script.troubles["back"]})
+    rows = run_virtual(script)
+    views = judge_views(rows)
+    assert views is not None and views.kept
+    words = {row.what for row in rows if isinstance(row, Found) and row.member == "e4"}
+    assert "left" in words and "gone" not in words
+
+
+async def test_held_up_by_a_stop_it_reads_first_and_accuses_nobody(autojump_clock: MockClock) -> None:
+    network = MemoryPlace()
+    held = MemorySurroundings(network)
+    places = [held, *(MemorySurroundings(network) for _ in range(3))]
+    tasks = []
+    async with trio.open_nursery() as nursery:
+        network.carrier = nursery
+        for number, place in enumerate(places):
+            told = named(f"e{number}")
+            between = Between(f"b{number}:1", (KEY,), ("b0:1",), period=SECOND)
+            one = FleetTask(told, between, place, 100 + number, lambda: (Phase.SERVING, ""))
+            tasks.append(one)
+            await nursery.start(one.run)
+        await trio.sleep(5)
+        for _ in range(4):
+            await held.hold(8 * SECOND)
+            await trio.sleep(2)
+        await trio.sleep(10)
+        assert tasks[0].counts["gone"] == 0 and tasks[0].counts["stalled"] >= 4
+        assert all(living(one) == {"e0", "e1", "e2", "e3"} for one in tasks)
+        nursery.cancel_scope.cancel()
+
+
+# The check of the views
+
+
+def judged(*rows: tuple[type, dict[str, Any]]) -> Any:
+    kept = tap.Tap(lambda: 0)
+    for when, (sort, fields) in enumerate(rows):
+        kept.now = lambda when=when: when * SECOND  # type: ignore[misc]
+        kept.row(sort, **fields)
+    return judge_views(kept.rows)
+
+
+def ran(edge: str, life: str, begins: bool = True) -> tuple[type, dict[str, Any]]:
+    return Ran, {"edge": edge, "life": life, "begins": begins}
+
+
+def viewed(edge: str, life: str, digest: str, **members: str) -> tuple[type, dict[str, Any]]:
+    return Viewed, {"edge": edge, "life": life, "digest": digest, "trust": "settled", "members": members}
+
+
+def test_the_check_finds_what_it_is_there_for() -> None:
+    begin = (Settles, {"within": 3 * SECOND, "every": 0})
+    both = [ran("e0", "a"), ran("e1", "b"), begin]
+    good = [viewed("e0", "a", "x", e0="a", e1="b"), viewed("e1", "b", "x", e0="a", e1="b")]
+    assert judged(*both, *good).kept
+    assert judged(*both, good[0], viewed("e1", "b", "y", e0="a", e1="b")).settled_after is None
+    assert judged(*both, good[0], viewed("e1", "b", "x", e1="b")).settled_after is None
+    assert judged(*both, good[0]).settled_after is None, "one was never heard of"
+    assert not judged(*both, *[good[0]] * 9, good[1]).kept, "too late"
+    fresh = [ran("e1", "b", False), ran("e1", "c"), viewed("e0", "a", "x", e0="a", e1="c")]
+    back = judged(*both, *good, *fresh, good[0])
+    assert back.gone_back == (("e0", "e1"),)
+    wrong = (Found, {"edge": "e0", "life": "a", "what": "gone", "member": "e1", "member_life": "b"})
+    assert judged(*both, *good, wrong).false_deaths == (("e0", "e1"),)
+    cut = (Fault, {"until": 60 * SECOND, "kind": "path-cut", "target": "paths"})
+    assert judged(*both, cut, *good, wrong).false_deaths == ()
+
+
+def test_a_query_has_no_name_and_its_head_is_as_short_as_any() -> None:
+    query = Query("", 5, 0, 1, 0)
+    assert len(Seal((KEY,)).seal(query)) < HEAD + 40
+    assert dataclasses.is_dataclass(Rules)
--- a/valverouter/edge/listing.py
+++ b/valverouter/edge/listing.py
@@ -31,6 +31,9 @@
     rows: list[Row]
 
 
+FORMERS_MOST = 4
+
+
 class Kept(msgspec.Struct):
     """The cached list: the rows as last heard, and the wall time of that."""
 
@@ -44,6 +47,11 @@
     Ages travel, moments don't: clocks differ. The first word of an incarnation fixes its moment, since a
     second reckoning would differ by the travel time and pass for a fresh start. Word of an earlier
     incarnation than one we know says nothing of when the present one began, however late it comes.
+
+    Incarnations are to grow, and do not at a machine whose clock was set back. So one that is smaller and,
+    by its age, began after the one we know is the present one; what it took the place of is remembered, and
+    late word of it says nothing any more. Should a smaller one be late word itself, a warm server passes for
+    cold until its age says otherwise: it gets less, and is not pushed over.
     Only a cached word is put right by a live one, and only where that shows a server to be warm: then no cold
     budget is at stake that a second reckoning could open again.
     """
@@ -51,16 +59,32 @@
     def __init__(self, warm_after: int = 0) -> None:
         self._warm_after = warm_after
         self._known: dict[str, tuple[int, int]] = {}
+        # Those that a smaller one took the place of, the last few by server; they leave with their server.
+        self._formers: dict[str, tuple[int, ...]] = {}
         # Servers known by the cached list alone; each leaves with the live list's first word of it.
         self._cached: set[str] = set()
 
     def started_at(self, server: str, incarnation: int, age: int | None, now: int) -> int:
         """The moment; 0 is long ago, as the decisions have it."""
         known = self._known.get(server)
-        if known is None or incarnation > known[0]:
+        if known is None or (
+            incarnation != known[0] and self._is_present(server, known, incarnation, age, now)
+        ):
             known = self._known[server] = incarnation, 0 if age is None else max(1, now - age)
         return known[1]
 
+    def _is_present(
+        self, server: str, known: tuple[int, int], incarnation: int, age: int | None, now: int
+    ) -> bool:
+        formers = self._formers.get(server, ())
+        if incarnation == known[0] or incarnation in formers:
+            return False
+        if incarnation < known[0]:
+            if age is None or now - age <= known[1]:
+                return False
+            self._formers[server] = (known[0], *formers)[:FORMERS_MOST]
+        return True
+
     def incarnation(self, server: str) -> int | None:
         """The latest that was told of a listed server."""
         known = self._known.get(server)
@@ -68,10 +92,12 @@
 
     def keep(self, servers: set[str]) -> None:
         self._known = {id_: known for id_, known in self._known.items() if id_ in servers}
+        self._formers = {id_: former for id_, former in self._formers.items() if id_ in servers}
         self._cached &= servers
 
     def forget(self, server: str) -> None:
         self._known.pop(server, None)
+        self._formers.pop(server, None)
         self._cached.discard(server)
 
     def entry(self, row: Row, now: int, cached: bool = False) -> ServerEntry:
@@ -86,6 +112,10 @@
         return ServerEntry(row.server, row.number, row.phase == "in-service", started_at, row.region)
 
 
+class _SilentError(Exception):
+    """The service was asked and said nothing."""
+
+
 class ListSource(Protocol):
     """Where an edge proxy hears of its servers."""
 
@@ -178,7 +208,7 @@
             try:
                 with trio.fail_after(links.hello_within / 1e9) as patience:
                     await stream.send_all(session.opening())
-                    while data := await stream.receive_some(READ):
+                    while data := await self._receive(stream, session):
                         for message in session.receive(data):
                             if isinstance(message, Welcome):
                                 await stream.send_all(session.send(self.replica.watch()))
@@ -189,6 +219,8 @@
                                     await stream.send_all(session.send(answer))
                         self._news.set()
                     session.end()
+            except _SilentError as error:
+                return str(error)
             except ProtocolError as error:
                 await say_farewell(stream, session, error)
                 return f"{error.code}: {error}"
@@ -198,6 +230,19 @@
                 return "no list in time"
         return "closed"
 
+    async def _receive(self, stream: trio.abc.Stream, session: ListSession) -> bytes | bytearray:
+        """What comes next. A service that is calm says nothing for hours, and so does one that hangs: after
+        `silence` it is asked for the last change once more, and after another it is given up."""
+        silence = self._terms.links.silence / 1e9
+        if not self.is_up or not self._terms.deployment.list_is_pushed:
+            return await stream.receive_some(READ)
+        with trio.move_on_after(silence):
+            return await stream.receive_some(READ)
+        with trio.move_on_after(silence):
+            await stream.send_all(session.send(self.replica.question()))
+            return await stream.receive_some(READ)
+        raise _SilentError(f"silent for {silence:g} s, and again when it was asked")
+
     def _heard(self, message: Snapshot | Change) -> object:
         rows, answer = self.replica.heard(message)
         if rows is not None:
--- a/valverouter/signalling/serverlist.py
+++ b/valverouter/signalling/serverlist.py
@@ -84,6 +84,11 @@
         self._asked = True
         return Watch(self.epoch, self.number)
 
+    def question(self) -> Watch:
+        """What a service that is there must answer, though nothing has changed: the last change again, or a
+        snapshot where there was none."""
+        return Watch(self.epoch, self.number - 1) if self.number else Watch()
+
     def heard(self, message: Snapshot | Change) -> tuple[list[Row] | None, Watch | None]:
         """The rows to act on (None: nothing new), and what to send back, if anything.
 
