--- /dev/null
+++ b/benchmarks/courses.py
@@ -0,0 +1,99 @@
+"""Courses of faults between real edge proxies on loopback, one a seed: do their views settle, are the
+rules kept?
+
+    python benchmarks/courses.py --edges 24 --seeds 20
+    python benchmarks/courses.py --edges 24 --seeds 20 --virtual
+
+Each course is played twice in turn: with the view, and without it and the faults of its paths, which touch
+nothing else. Told are how long after the last fault all views were one, in probe periods, against the bound
+of the file (30), broken rules, and the pairs' difference of service.
+"""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+import tempfile
+from pathlib import Path
+
+import msgspec
+
+from valverouter.audit.account import account, service
+from valverouter.audit.rules import audit
+from valverouter.audit.views import judge_views
+from valverouter.days.courses import course
+from valverouter.days.loopback import run_loopback
+from valverouter.days.virtual import run_virtual
+from valverouter.edge import logs
+from valverouter.signalling.tap import Found, Row, Terms
+from valverouter.terms.day import Day, day
+from valverouter.terms.edge import Log
+from valverouter.terms.ini import IniFile
+
+FILE = Path(__file__).parent.parent / "deploy" / "days" / "fleet-course.ini"
+
+
+def scripted(seed: int, edges: int, length_s: float) -> Day:
+    text = FILE.read_text().replace("edge_proxies = 24", f"edge_proxies = {edges}")
+    text = text.replace("edges = 8", f"edges = {edges // 3}").replace("seed = 1\n", f"seed = {seed}\n")
+    text = text.replace("length = 18s", f"length = {length_s:g}s")
+    return day(
+        IniFile(text + course(seed, edges, ("north", "south", "west"), length_s), f"course {seed}"), "course"
+    )
+
+
+def played(script: Day, virtual: bool, folder: Path | None) -> list[Row]:
+    if virtual:
+        return run_virtual(script)
+    with tempfile.TemporaryDirectory() as passing:
+        return run_loopback(script, folder or Path(passing))
+
+
+def worth(rows: list[Row]) -> float:
+    terms = next(row for row in rows if isinstance(row, Terms))
+    return service(account(rows), terms.importance)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--edges", type=int, default=24)
+    parser.add_argument("--seeds", type=int, default=20)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--length", type=float, default=18.0, help="seconds")
+    parser.add_argument("--virtual", action="store_true")
+    parser.add_argument("--alone", action="store_true", help="not beside a run without the view")
+    parser.add_argument("--logs", type=Path, help="keep the edge proxies' files here")
+    told = parser.parse_args()
+    logs.set_up(Log(level="error"))
+    after, differences, bad = [], [], 0
+    for seed in range(told.first, told.first + told.seeds):
+        script = scripted(seed, told.edges, told.length)
+        assert script.between is not None
+        folder = told.logs / str(seed) if told.logs else None
+        if folder is not None:
+            folder.mkdir(parents=True, exist_ok=True)
+        rows = played(script, told.virtual, folder)
+        views, verdict = judge_views(rows), audit(rows)
+        assert views is not None
+        bad += not (views.kept and verdict.kept)
+        periods = float("inf") if views.settled_after is None else views.settled_after / script.between.period
+        after.append(periods)
+        line = f"seed {seed}: one view after {periods:.1f} periods, rules kept: {verdict.kept}"
+        line += f", false deaths: {len(views.false_deaths)}"
+        line += f", gone: {sum(isinstance(row, Found) and row.what == 'gone' for row in rows)}"
+        if not told.alone:
+            without = msgspec.structs.replace(script, between=None, paths={})
+            with_view, plain = worth(rows), worth(played(without, told.virtual, None))
+            differences.append(with_view - plain)
+            line += f", service {with_view:.3f} and {plain:.3f} without"
+        print(line if views.kept else f"{line}; {views.why or views.gone_back}", flush=True)
+    after.sort()
+    middle = statistics.median(after)
+    print(f"{len(after)} courses, {bad} bad; periods: median {middle:.1f}, most {after[-1]:.1f}")
+    if len(differences) > 1:
+        mean, spread = statistics.mean(differences), statistics.stdev(differences)
+        print(f"service with less without the view: mean {mean:+.4f}, spread of the pairs {spread:.4f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -276,6 +276,23 @@
         assert answer.dialog in ("d0", "d1", "d2", "d9") and trio.current_time() > lost_at
 
 
+async def test_what_came_during_a_stop_has_no_more_time_than_its_caller_may_have_left(
+    autojump_clock: MockClock,
+) -> None:
+    """Found by courses of stops: reckoned from the wake, a stand was told after its caller's time."""
+    async with rigged(1) as rig:
+        caller = await rig.caller()
+        rig.nursery.start_soon(rig.surroundings.hold, 3 * SECOND)
+        await trio.sleep(0.5)
+        await caller.send(dial(no_answer=5 * SECOND))
+        asked = await rig.servers["s0"].link.next(setup.Setup)
+        assert asked.no_answer <= 2 * SECOND, "it may have come when the stop began"
+        await trio.sleep(5)
+        await caller.send(dial("d2", no_answer=5 * SECOND))
+        asked = await rig.servers["s0"].link.next(setup.Setup)
+        assert asked.no_answer > 4 * SECOND, "and what comes later has its whole time"
+
+
 async def test_a_stall_of_the_edge_hears_the_list_before_it_sends(autojump_clock: MockClock) -> None:
     async with rigged() as rig:
         caller = await rig.caller()
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -115,6 +115,8 @@
         self._failures_alike = 0
         self._looked_at = self._now
         self._stopping = False
+        # After a stop of this process, until all that came meanwhile is read: when it last ran. 0: it runs.
+        self._unread_since = 0
         # When the dialog that is being taken came.
         self._came_at = self._looked_at
         self._handlers: dict[type, Callable[[Any], None]] = {
@@ -295,6 +297,7 @@
                 # What the list told while we did not run must be heard before anything is sent.
                 self.tally.stalls += 1
                 self._log.warning("stalled", ms=(now - self._looked_at) // 1_000_000)
+                self._unread_since = self._looked_at
                 await trio.sleep(SETTLE_S)
             # One moment for the batch: all that is here came before it, so no span is reckoned too short.
             self._now = now = self._clock.now()
@@ -303,6 +306,7 @@
             for _ in range(BATCH):
                 event = self._inbox.take()
                 if event is None:
+                    self._unread_since = 0
                     break
                 if type(event) is Stop and not self._stopping:
                     self._stopping, stop_at = True, now + self.terms.links.stop_within
@@ -350,11 +354,21 @@
 
     def _from_caller(self, event: FromCaller) -> None:
         if isinstance(event.message, setup.Setup):
-            self._came_at = event.came_at or self._now
+            self._came_at = event.came_at or self._came_during_a_stop(event.message.no_answer) or self._now
             self._take(event.caller, event.message)
         else:
             self._leaves(event.caller, event.message)
 
+    def _came_during_a_stop(self, no_answer: int) -> int:
+        """When a set-up came that lay unread while this process was stopped; 0 where that can't be said.
+
+        Nothing tells how long it lay there, so it counts as having come at the stop's beginning: reckoned
+        from the wake, its answer came after its caller's time. Of a stop longer than that time nothing can be
+        said at all; such a caller gets its answer as soon as can be.
+        """
+        since = self._unread_since
+        return since if since + no_answer - self.terms.answer_margin > self._now else 0
+
     def _caller_lost(self, event: CallerLost) -> None:
         for dialog_id in list(event.caller.dialogs):
             self._drop(dialog_id, "caller-gone")
