--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -1,12 +1,13 @@
 """How many dialogs a second one edge proxy on one core sets up on loopback, and what it adds to each.
 
-    python benchmarks/edge.py [--seconds 5] [--rounds 3] [--profile] [--long 600] [--ledgers]
+    python benchmarks/edge.py [--seconds 5] [--rounds 3] [--profile] [--long 600] [--ledgers] [--views 220]
 
 Beside the edge proxy, in the same run and alternating with it, a bare trio relay of the same messages is
 measured. Callers and servers are processes of their own on blocking sockets, so that neither is what limits.
 Closed loop for the rate; open loop at half the edge's rate for the delays, from the moment when each dialog
 was due to be sent, so that a slow answer does not hide those behind it. With --ledgers no relay: edge proxies
-without a ledger, with one, and with one that waits for the disk, alternating in one run.
+without a ledger, with one, and with one that waits for the disk, alternating in one run. With --views two
+edge proxies, one of them in a view of so many members, whose others run in a process of their own.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 import multiprocessing as mp
 import os
 import pstats
+import random
 import socket
 import statistics
 import sys
@@ -34,12 +36,15 @@
 from valverouter.edge.logs import set_up
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import Sockets, long_lived
+from valverouter.fleet.datagrams import FleetTask
 from valverouter.ledger.store import Ledger
+from valverouter.membership.records import Phase
 from valverouter.signalling import setup
 from valverouter.signalling.framing import FrameReader, frame
 from valverouter.signalling.greeting import Hello, Welcome
 from valverouter.signalling.serverlist import ListSession, Register, Row, Watch
 from valverouter.signalling.setup import Ended, Provisional, Release, Setup, SetupSession, Stands
+from valverouter.terms.between import Between, key_of
 from valverouter.terms.edge import edge_terms
 from valverouter.terms.ini import IniFile
 
@@ -184,7 +189,38 @@
         threading.Thread(target=one, args=(conn,), daemon=True).start()
 
 
-def edge(port: int, told: Any, profile: str, folder: str = "", sync: str = "none") -> None:
+KEY = key_of(b"what benchmarks are keyed with, and nothing else")
+
+
+def member(name: str, seeds: tuple[str, ...], port: int) -> FleetTask:
+    terms = edge_terms(IniFile(INI.format(port=port).replace("name = e0", f"name = {name}"), "bench"))
+    between = Between("127.0.0.1:0", (KEY,), seeds)
+    return FleetTask(terms, between, Sockets(), random.getrandbits(64), lambda: (Phase.SERVING, terms.digest))
+
+
+def crowd(count: int, told: Any) -> None:
+    """So many members of a view, and nothing else of an edge proxy; tells one's address, and when it is
+    settled."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            first = member("m0", (), 1)
+            await nursery.start(first.run)
+            assert first.core is not None
+            others = [member(f"m{at}", (first.core.mine.address,), 1) for at in range(1, count)]
+            for one in others:
+                await nursery.start(one.run)
+            told.put(first.core.mine.address)
+            while first.core.view.living < count + 1 or first.core.trust.value != "settled":
+                await trio.sleep(0.2)
+            told.put(f"{first.core.view.living} members, {first.core.trust.value}")
+            await trio.sleep_forever()
+
+    set_up(edge_terms(IniFile(INI.format(port=1), "bench")).log)
+    trio.run(main)
+
+
+def edge(port: int, told: Any, profile: str, folder: str = "", sync: str = "none", seed: str = "") -> None:
     terms = edge_terms(IniFile(INI.format(port=port), "bench"))
     set_up(terms.log)
     store = Ledger(Path(folder), sync=sync) if folder else None
@@ -192,6 +228,8 @@
     async def main() -> None:
         async with trio.open_nursery() as nursery:
             proxy: EdgeProxy = await nursery.start(edge_proxy(terms, Sockets(), store).run)
+            if seed:
+                await nursery.start(member("e0", (seed,), port).run)
             long_lived()
             told.put(proxy.address)
             with trio.open_signal_receiver(15) as signals:
@@ -352,8 +390,52 @@
             process.join()
 
 
+def views(list_port: int, seconds: float, rounds: int, members: int) -> None:
+    """Rates, and delays at half of the rate, of two edge proxies of which one keeps a view."""
+    told: Any = mp.Queue()
+    others = mp.Process(target=crowd, args=(members - 1, told), daemon=True)
+    others.start()
+    seed = told.get()
+    at: dict[str, str] = {}
+    started = []
+    for name, first in (("without", ""), ("with", seed)):
+        process = mp.Process(target=edge, args=(list_port, told, "", "", "none", first))
+        process.start()
+        started.append(process)
+        answers = [told.get(), told.get()] if first else [told.get()]
+        at[name] = next(answer for answer in answers if ":" in answer)
+    print(next(answer for answer in answers if ":" not in answer), flush=True)
+    for address in at.values():
+        load(address, 1)
+    rates: dict[str, list[float]] = {name: [] for name in at}
+    for number in range(rounds):
+        # Which comes first changes: the second of a pair finds the machine warmer.
+        for name in list(at) if number % 2 else list(reversed(at)):
+            rates[name].append(load(at[name], seconds)[0])
+    ratios = sorted(a / b for a, b in zip(rates["with"], rates["without"], strict=True))
+    middle = {name: statistics.median(rate) for name, rate in rates.items()}
+    print(f"closed loop: without {middle['without']:.0f}/s, with {middle['with']:.0f}/s in the median")
+    print(
+        f"with against without: {ratios[0]:.3f} to {ratios[-1]:.3f}, median {statistics.median(ratios):.3f}"
+    )
+    half = middle["without"] / 2
+    p99: dict[str, list[float]] = {name: [] for name in at}
+    for number in range(rounds):
+        for name in list(at) if number % 2 else list(reversed(at)):
+            histogram = load(at[name], seconds, half)[2]
+            p99[name].append(histogram.get_value_at_percentile(99) / 1000)
+    for name, spans in p99.items():
+        low, high = min(spans), max(spans)
+        median = statistics.median(spans)
+        print(f"open loop at {half:.0f}/s, {name}: p99 {median:.2f} ms, {low:.2f} to {high:.2f}")
+    for process in (*started, others):
+        process.terminate()
+        process.join()
+
+
 def main() -> None:
     parser = argparse.ArgumentParser()
+    parser.add_argument("--views", type=int, default=0, help="members of a view; 0: none")
     parser.add_argument("--seconds", type=float, default=5)
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--profile", action="store_true")
@@ -375,6 +457,9 @@
     if options.ledgers:
         ledgers(lists.getsockname()[1], options.seconds, options.rounds)
         return
+    if options.views:
+        views(lists.getsockname()[1], options.seconds, options.rounds, options.views)
+        return
     told: Any = mp.Queue()
     with tempfile.TemporaryDirectory() as folder:
         profile = str(Path(folder) / "edge.prof") if options.profile else ""
--- a/valverouter/cli/fleeting.py
+++ b/valverouter/cli/fleeting.py
@@ -15,11 +15,13 @@
 from rich.table import Table
 
 from valverouter.cli.common import BROKEN, FILE, UNUSABLE, console
+from valverouter.days.emulated_views import run_views
 from valverouter.edge.surroundings import Sockets
 from valverouter.fleet.asking import Heard, Row, differences, is_settled
 from valverouter.fleet.tool import Asker
 from valverouter.membership.records import LIVING, Phase, State
 from valverouter.terms.between import Between
+from valverouter.terms.day import load_day
 from valverouter.terms.edge import load_edge_terms
 
 # Exit codes of `fleet view`.
@@ -62,6 +64,26 @@
         time.sleep(WATCH_S)
 
 
+@fleet.command("emulate")
+@click.argument("file", type=FILE)
+@click.option("--members", default=0, help="How many; 0: the day's own edge proxies.")
+def emulate(file: Path, members: int) -> None:
+    """Play the faults between edge proxies of the day in FILE on the emulator, the view alone.
+
+    Exits with 1 where the views did not become one in the time that the file allows.
+    """
+    seen = run_views(load_day(file), members)
+    words = ", ".join(f"{what} {count}" for what, count in sorted(seen.found.items()))
+    console.print(f"{seen.members} members; {words}", highlight=False)
+    console.print(f"{seen.messages:.1f} messages a second each", highlight=False)
+    allowed = seen.allowed / 1e9
+    if seen.settled_after is None:
+        console.print(f"not one view {allowed:.1f} s after the last fault", highlight=False)
+        sys.exit(BROKEN)
+    after = seen.settled_after / 1e9
+    console.print(f"one view {after:.1f} s after the last fault ({allowed:.1f} s)", highlight=False)
+
+
 async def _asked(between: Between, at: tuple[str, ...], most: int) -> list[Heard]:
     """Those named; else this file's instance, its seeds, and then whom the answers name."""
     first = list(at) or [
--- /dev/null
+++ b/valverouter/days/emulated_views.py
@@ -0,0 +1,131 @@
+"""A day's faults between its edge proxies, on the emulator: the view alone, for fleets of thousands.
+
+The same file as on loopback. Its edge proxies keep their names; further members are dealt to its regions in
+turn, so that what strikes a region strikes its share of the fleet.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from valverouter.days.paths import path_faults
+from valverouter.emulator.views import WALL, Node, Views
+from valverouter.membership.core import Told
+from valverouter.membership.rules import Rules
+from valverouter.servermodel.paths import Paths
+from valverouter.terms.day import Day, Trouble
+
+
+@dataclass(frozen=True, slots=True)
+class EmulatedView:
+    """`settled_after`: ns after the last fault, None: not in the time that the file allows. `found`: counts
+    over all members by word."""
+
+    members: int
+    settled_after: int | None
+    allowed: int
+    found: Counter[str]
+    messages: float
+
+
+def run_views(day: Day, members: int = 0) -> EmulatedView:
+    """Plays the faults; 0 members: the day's own. The same day gives the same result every time."""
+    between = day.between
+    if between is None:
+        raise ValueError(f"{day.name}: there is no [between], so nobody keeps a view")
+    members = max(members, day.fleet.edge_proxies)
+    names = {f"e{at}": _region(day, at) for at in range(members)}
+    chance = random.Random(f"{day.terms.seed}/paths")
+    found: Counter[str] = Counter()
+
+    def delay(sender: str, receiver: str) -> int:
+        base = day.delays.same if names[sender] == names[receiver] else day.delays.cross
+        return int(base * (1 + day.delays.jitter * (2 * chance.random() - 1)))
+
+    def watch(node: Node, told: Told) -> None:
+        found[told.what] += 1
+
+    rules = Rules(period=between.period, remembers=between.remembers)
+    faults = path_faults(_with_members(day, names), day.terms.settle)
+    views = Views(rules, Paths(faults, chance.random, delay), day.terms.seed, watch)
+    seeds = tuple(f"e{at}:1" for at in range(between.seeds))
+    views.full(members, seeds, lambda at: names[f"e{at}"])
+    last = max([0, *(fault.until for fault in faults)])
+    draws = random.Random(f"{day.terms.seed}/troubles")
+    for trouble in day.troubles.values():
+        last = max(last, _script(views, day, trouble, sorted(names), draws, seeds))
+    views.run(last)
+    settled = views.settles(last + between.settles * between.period, between.period // 2)
+    sent = sum(sum(node.sent.values()) for node in views.nodes.values())
+    return EmulatedView(
+        members=members,
+        settled_after=None if settled is None else settled - last,
+        allowed=between.settles * between.period,
+        found=found,
+        messages=sent / members / (views.now / 1e9),
+    )
+
+
+def _region(day: Day, at: int) -> str:
+    if at < day.fleet.edge_proxies:
+        return day.region_of_edge(at)
+    with_edges = [name for name, region in day.regions.items() if region.edges]
+    return with_edges[at % len(with_edges)]
+
+
+def _with_members(day: Day, names: dict[str, str]) -> Day:
+    """The day with each region's name in a fault written out as its members."""
+
+    def members(words: tuple[str, ...]) -> tuple[str, ...]:
+        out = []
+        for word in words:
+            parts = []
+            for part in word.split("+"):
+                of_region = [name for name, region in names.items() if region == part.strip()]
+                parts += of_region or [part.strip()]
+            out.append("+".join(parts))
+        return tuple(out)
+
+    paths = {
+        one: msgspec.structs.replace(
+            path,
+            senders=members(path.senders),
+            receivers=members(path.receivers),
+            groups=members(path.groups),
+        )
+        for one, path in day.paths.items()
+    }
+    return msgspec.structs.replace(day, paths=paths)
+
+
+def _script(
+    views: Views, day: Day, trouble: Trouble, names: list[str], draws: random.Random, seeds: tuple[str, ...]
+) -> int:
+    """Puts a trouble on the agenda; when it is over. Those of servers and callers touch no view."""
+    start = day.terms.settle + trouble.start
+    end = start + trouble.length
+    if not trouble.kind.startswith("balancer_"):
+        return 0
+    struck = [name for name in names if name in trouble.on]
+    if not trouble.on:
+        struck = sorted(draws.sample(names, max(1, round(trouble.part * len(names)))))
+    # One that comes late is, to the others, one that was not there from the beginning.
+    first = 0 if trouble.kind == "balancer_late" else start
+    begins = start if trouble.kind == "balancer_late" else end
+    for name in struck:
+        if trouble.kind == "balancer_stall":
+            views.at(start, views.stall, name, trouble.length)
+            continue
+        ends: Callable[[str], None] = views.leave if trouble.kind == "balancer_leave" else views.kill
+        views.at(first, ends, name)
+        views.at(begins, _starts, views, name, seeds, _region(day, int(name[1:])))
+    return end
+
+
+def _starts(views: Views, name: str, seeds: tuple[str, ...], region: str) -> None:
+    views.start(name, seeds, region=region, wall_ms=WALL + views.now // 10**6)
--- a/valverouter/emulator/views.py
+++ b/valverouter/emulator/views.py
@@ -16,6 +16,7 @@
 from valverouter.membership.messages import Message
 from valverouter.membership.records import Record, State
 from valverouter.membership.rules import Rules
+from valverouter.membership.view import View
 from valverouter.servermodel.paths import Paths
 
 SECOND = 10**9
@@ -103,11 +104,11 @@
     ) -> None:
         """A fleet that knows itself already."""
         nodes = [self.start(f"e{at}", seeds, region=region(at) if region else "") for at in range(count)]
-        records = [node.core.mine for node in nodes]
+        whole = View(self._rules.old_addresses)
         for node in nodes:
-            for record in records:
-                if record.name != node.name:
-                    node.core.view.put(record, self.now)
+            whole.put(node.core.mine, self.now)
+        for node in nodes:
+            node.core.view = whole.copy()
 
     def kill(self, name: str) -> None:
         self.nodes[name].alive = False
--- a/valverouter/membership/view.py
+++ b/valverouter/membership/view.py
@@ -55,6 +55,17 @@
         self.old: deque[str] = deque(maxlen=old_addresses)
         self._digests: dict[str, int] = {}
 
+    def copy(self) -> View:
+        """The same table, for another instance."""
+        other = View(self.old.maxlen or 0)
+        other.records, other.since = self.records.copy(), self.since.copy()
+        other.accusers = {name: accusers.copy() for name, accusers in self.accusers.items()}
+        other.living, other.gone, other.suspects = self.living, self.gone, self.suspects
+        other.buckets, other.digest = self.buckets.copy(), self.digest
+        other.old.extend(self.old)
+        other._digests = self._digests.copy()
+        return other
+
     def lives(self, name: str) -> bool:
         held = self.records.get(name)
         return held is not None and held.state <= State.SUSPECT
