--- a/valverouter/days/world.py
+++ b/valverouter/days/world.py
@@ -406,7 +406,7 @@
         """Asked to end, and started again."""
         struck = self._edges(trouble, chance)
         for place in struck:
-            self._fault(trouble, f"e{place}", trouble.length + self.day.links.stop_within)
+            self._fault(trouble, f"e{place}")
             await self.edges[place].stop()
         await trio.sleep(trouble.length / 1e9)
         for place in struck:
