The machine of the view in files of one idea each; the fleet's size is told as differing from the terms alone

Found by a test: settled again on the number that the terms say, it told of a difference all the same.

--- a/benchmarks/views.py
+++ b/benchmarks/views.py
@@ -24,11 +24,12 @@
 
 from valverouter.emulator.views import SECOND, Node, Views
 from valverouter.fleet.sealing import size_of
-from valverouter.membership.core import Membership, Told
+from valverouter.membership.core import Membership
 from valverouter.membership.messages import Gossip, Message
 from valverouter.membership.records import Record, State, told
 from valverouter.membership.rules import Rules
 from valverouter.membership.view import View
+from valverouter.membership.voice import Told
 from valverouter.servermodel.paths import PathFault, Paths
 
 BASELINES = ("program", "heartbeats", "unsuspecting", "trusting")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -287,6 +287,7 @@
         await second.ended.wait()
         await until(lambda: living(first) == {"e0"}, 1.0)
         assert first.counts["left"] == 1 and first.counts["gone"] == 0
+        assert first.counts["size-differs"] == 1, "the rig's terms say 1, and there were 2"
 
 
 async def test_a_member_with_an_old_key_is_dropped_and_counted_and_comes_in_with_both() -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,7 +12,6 @@
 from hypothesis import strategies as st
 
 from valverouter.emulator.views import SECOND, WALL, Node, Views
-from valverouter.membership.core import Told
 from valverouter.membership.messages import Gossip, Ping, Sync
 from valverouter.membership.model import LEAVABLE, Broken, Model
 from valverouter.membership.records import Record, State, above, said, supersedes, told
@@ -20,6 +19,7 @@
 from valverouter.membership.spreading import News
 from valverouter.membership.trust import Trust
 from valverouter.membership.view import View
+from valverouter.membership.voice import Told
 from valverouter.servermodel.paths import KINDS, PathFault, Paths
 from valverouter.terms.day import PATH_KINDS
 
--- a/valverouter/days/emulated_views.py
+++ b/valverouter/days/emulated_views.py
@@ -15,8 +15,8 @@
 
 from valverouter.days.paths import path_faults
 from valverouter.emulator.views import WALL, Node, Views
-from valverouter.membership.core import Told
 from valverouter.membership.rules import Rules
+from valverouter.membership.voice import Told
 from valverouter.servermodel.paths import Paths
 from valverouter.terms.day import Day, Trouble
 
--- a/valverouter/days/viewing.py
+++ b/valverouter/days/viewing.py
@@ -22,8 +22,8 @@
 from valverouter.fleet.asking import Heard
 from valverouter.fleet.datagrams import FleetTask
 from valverouter.fleet.tool import Asker
-from valverouter.membership.core import Told
 from valverouter.membership.records import LIVING, Phase
+from valverouter.membership.voice import Told
 from valverouter.servermodel.paths import Paths
 from valverouter.signalling.tap import Found, Ran, Settles, Viewed
 from valverouter.standins.paths import PathStandIn
--- a/valverouter/emulator/views.py
+++ b/valverouter/emulator/views.py
@@ -12,11 +12,12 @@
 from collections import Counter
 from collections.abc import Callable
 
-from valverouter.membership.core import Membership, Told
+from valverouter.membership.core import Membership
 from valverouter.membership.messages import Message
 from valverouter.membership.records import Record, State
 from valverouter.membership.rules import Rules
 from valverouter.membership.view import View
+from valverouter.membership.voice import Told
 from valverouter.servermodel.paths import Paths
 
 SECOND = 10**9
--- a/valverouter/fleet/datagrams.py
+++ b/valverouter/fleet/datagrams.py
@@ -18,10 +18,11 @@
 from valverouter.edge.surroundings import Datagrams, Surroundings
 from valverouter.fleet.asking import Query, Shown, pages_of, rows_of
 from valverouter.fleet.sealing import MOST, Opener, Seal, TooLongError
-from valverouter.membership.core import Membership, Told
+from valverouter.membership.core import Membership
 from valverouter.membership.records import Phase, Record
 from valverouter.membership.rules import Rules
 from valverouter.membership.trust import Trust
+from valverouter.membership.voice import Told
 from valverouter.terms.between import Between
 from valverouter.terms.edge import EdgeTerms
 
@@ -210,5 +211,7 @@
         )
         if told.what == Trust.SETTLED.value and core.view.living != self._told_size:
             self._told_size = core.view.living
-            told_by_terms = self._terms.deployment.edge_proxies
-            self._log.warning("fleet-size-differs", members=core.view.living, edge_proxies=told_by_terms)
+            by_terms = self._terms.deployment.edge_proxies
+            if core.view.living != by_terms:
+                self.counts["size-differs"] += 1
+                self._log.warning("fleet-size-differs", members=core.view.living, edge_proxies=by_terms)
--- a/valverouter/membership/core.py
+++ b/valverouter/membership/core.py
@@ -10,60 +10,37 @@
 
 import heapq
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 
+from valverouter.membership.exchanging import Seldom, differing, pages, wanted
 from valverouter.membership.messages import Ack, Ask, Gossip, Message, Nack, Pages, Ping, Sync
 from valverouter.membership.probing import Probe, Probes
 from valverouter.membership.records import Phase, Record, State, above, said, unaware
 from valverouter.membership.records import told as told_of
 from valverouter.membership.rules import Rules
-from valverouter.membership.spreading import News
+from valverouter.membership.suspicion import Suspicions
 from valverouter.membership.trust import Agreement, Trust
 from valverouter.membership.twins import Answer, Twin, answer
-from valverouter.membership.view import BUCKETS, View
+from valverouter.membership.view import BUCKETS
+from valverouter.membership.voice import Told, Voice
 
 
-@dataclass(frozen=True, slots=True)
-class Told:
-    """Something found: `what` joined, changed, suspect, refuted, gone, left, forgotten, restarted, accused,
-    conflict, conflict-over, stalled, settled, unsettled or cut-off; `record` is whom it is about."""
-
-    at: int
-    what: str
-    record: Record
-    by: str = ""
-
-
-class Membership:
+class Membership(Voice):
     """One instance's part. Every table is bounded by the fleet's size; timers leave as they come due."""
 
     def __init__(
         self, mine: Record, rules: Rules, draw: Callable[[], float], now: int, seeds: tuple[str, ...] = ()
     ) -> None:
-        self.mine = mine
-        self.rules = rules
+        super().__init__(mine, rules, draw, now)
         self.seeds = tuple(seed for seed in seeds if seed != mine.address)
-        self.view = View(rules.old_addresses)
-        self.view.put(mine, now)
-        self.out: list[tuple[str, Message]] = []
-        self.told: list[Told] = []
         self.trust = Trust.UNSETTLED
         self.twin = Twin()
-        self._draw = draw
-        self._now = now
         self._probes = Probes(rules, draw)
-        self._news = News(rules.room)
         self._agreement = Agreement(rules)
-        self._timers: list[tuple[int, int, Callable[..., None], tuple[object, ...]]] = []
-        self._serial = 0
-        self._gossips = False
         self._synced_at = now - rules.period
-        # Whom we corrected last, and when; cleared at each exchange.
-        self._corrected: dict[str, int] = {}
-        # Suspects: when the time to say otherwise began and ends, by name.
-        self._deadlines: dict[str, tuple[int, int]] = {}
+        self._seldom = Seldom(rules.period)
+        self._suspicions = Suspicions(rules)
         self._slot = rules.period // rules.probes
         self._at(now + int(draw() * self._slot), self._probe)
         self._at(now, self._join)
@@ -71,14 +48,6 @@
 
     # The clock
 
-    @property
-    def due(self) -> int:
-        return self._timers[0][0]
-
-    def _at(self, when: int, act: Callable[..., None], *args: object) -> None:
-        self._serial += 1
-        heapq.heappush(self._timers, (when, self._serial, act, args))
-
     def tick(self, now: int) -> None:
         """Does what is due. Late by over half a period, this instance did not run: what it asked then is
         void, and suspects get the time back that it did not listen for."""
@@ -95,7 +64,7 @@
         self.told.append(Told(self._now, "stalled", self.mine))
         self._probes.void()
         self._probes.worse()
-        self._deadlines = {name: (began, ends + late) for name, (began, ends) in self._deadlines.items()}
+        self._suspicions.later(late)
 
     def _judge(self) -> None:
         trust = self._agreement.trust(self._now, self.view, self._probes.unheard, bool(self.seeds))
@@ -122,52 +91,6 @@
         for name in self._some(2 * self.rules.fan):
             self._send(self.view.records[name].address, Gossip(*self._head(), (self.mine,)))
 
-    def _say(self, record: Record) -> None:
-        self.mine = record
-        self.view.put(record, self._now)
-        self._spread(record)
-
-    def _head(self) -> tuple[str, int, int]:
-        return self.mine.name, self.mine.life, self.view.digest
-
-    def _send(self, address: str, message: Message) -> None:
-        self.out.append((address, message))
-
-    def _spread(self, record: Record) -> None:
-        self._news.put(record)
-        if not self._gossips:
-            self._gossips = True
-            self._at(self._now + self._tick_span(), self._gossip)
-
-    def _tick_span(self) -> int:
-        return self.rules.period // self.rules.ticks
-
-    def _take(self, first: Record | None = None) -> tuple[Record, ...]:
-        return self._news.take(self.rules.sends(self.view.living), first)
-
-    def _gossip(self) -> None:
-        """Fresh words do not wait for a probe to carry them."""
-        if not self._news.is_fresh(self.rules.eager):
-            self._gossips = False
-            return
-        self._at(self._now + self._tick_span(), self._gossip)
-        for name in self._some(self.rules.fan):
-            if not len(self._news):
-                break
-            self._send(self.view.records[name].address, Gossip(*self._head(), self._take()))
-
-    def _living(self) -> list[str]:
-        mine = self.mine.name
-        return [n for n, one in self.view.records.items() if one.state <= State.SUSPECT and n != mine]
-
-    def _some(self, count: int, but: str = "") -> list[str]:
-        """Other living members, drawn."""
-        names = [name for name in self._living() if name != but]
-        for at in range(min(count, len(names))):
-            other = at + int(self._draw() * (len(names) - at))
-            names[at], names[other] = names[other], names[at]
-        return names[:count]
-
     # Probes
 
     def _probe(self) -> None:
@@ -223,36 +146,26 @@
         if not self.rules.suspects:
             self._put_away(held)
             return
+        name, now = held.name, self._now
+        suspect = told_of(held, State.SUSPECT, by)
         if held.state == State.ALIVE:
-            suspect = told_of(held, State.SUSPECT, by)
-            self.view.put(suspect, self._now)
-            self.told.append(Told(self._now, "suspect", suspect, by))
-            self._deadlines.pop(held.name, None)
-        else:
-            suspect = told_of(held, State.SUSPECT, by)
-        accusers = self.view.accusers.setdefault(held.name, set())
-        if by in accusers or len(accusers) > self.rules.accusers:
-            return
-        accusers.add(by)
-        self._spread(suspect)
-        began, ends = self._deadlines.get(held.name, (self._now, 0))
-        enough = len(accusers) >= min(self.rules.accusers, max(1, self.view.living - 2))
-        span = int(self.rules.suspicion * self.rules.period * self._probes.patience)
-        ends = began + span if enough else began + int(span * self.rules.alone)
-        self._deadlines[held.name] = began, ends
-        self._at(max(ends, self._now), self._last_word, held.name, held.life, held.seq)
+            self.view.put(suspect, now)
+            self.told.append(Told(now, "suspect", suspect, by))
+            self._suspicions.over(name)
+        ends = self._suspicions.accuse(name, by, now, self.view.living, self._probes.patience)
+        if ends is not None:
+            self._spread(suspect)
+            self._at(ends, self._last_word, name, held.life, held.seq)
 
     def _last_word(self, name: str, life: int, seq: int) -> None:
         """Its time is up; before this instance says that it is gone, it asks itself once more."""
         held = self.view.records.get(name)
         if held is None or (held.life, held.seq, held.state) != (life, seq, State.SUSPECT):
             return
-        _, ends = self._deadlines.get(name, (0, 0))
-        if ends > self._now:
-            self._at(ends, self._last_word, name, life, seq)
+        if not self._suspicions.is_due(name, self._now):
+            self._at(self._suspicions.ends(name), self._last_word, name, life, seq)
             return
-        # So that a second timer of the same suspicion does not ask again.
-        self._deadlines[name] = self._now, self._now + 4 * self.rules.period * self._probes.patience
+        self._suspicions.last_word(name, self._now, self._probes.patience)
         self._ask_after(held, last_word=True)
 
     def _put_away(self, held: Record) -> None:
@@ -309,7 +222,10 @@
         if self.view.is_later(record):
             self._take_in(record, record.by)
         elif (
-            held is not None and record.lives and unaware(record, held) and self._may_correct(record.address)
+            held is not None
+            and record.lives
+            and unaware(record, held)
+            and self._seldom.may(record.address, self._now)
         ):
             # If it runs, it hears of the other here, and goes above it for all. If it does not, whoever has
             # its address now has nothing to learn from it.
@@ -320,7 +236,7 @@
         name, now = record.name, self._now
         held = self.view.records.get(name)
         self.view.put(record, now)
-        self._deadlines.pop(name, None)
+        self._suspicions.over(name)
         self._spread(record)
         if record.state == State.SUSPECT:
             # Later than what we held, and in doubt already: its time runs from here.
@@ -370,7 +286,7 @@
                     mine = msgspec.structs.replace(mine, twin=False)
                 self._say(above(mine, record))
             case Answer.ASK:
-                if self._may_correct(record.address):
+                if self._seldom.may(record.address, self._now):
                     self._ask_namesake(record.address, record.life)
             case Answer.NOTHING:
                 pass
@@ -389,7 +305,11 @@
     def _namesake(self, address: str, message: Message) -> None:
         """Another life under our name says something. A datagram may be old: only an answer to our own nonce
         proves that it runs."""
-        if type(message) is not Ack and message.life != self.twin.life and self._may_correct(address):
+        if (
+            type(message) is not Ack
+            and message.life != self.twin.life
+            and self._seldom.may(address, self._now)
+        ):
             self._ask_namesake(address, message.life)
         elif message.life == self.twin.life:
             self.twin.heard(message.life, address, self._now)
@@ -405,21 +325,13 @@
 
     def _correct(self, address: str, message: Message, held: Record | None) -> None:
         """The sender is not who we take it for: it is told what we hold, and says itself what holds."""
-        if not self._may_correct(address):
+        if not self._seldom.may(address, self._now):
             return
         if held is None:
             self._sync(address)
         else:
             self._send(address, Gossip(*self._head(), (held,)))
 
-    def _may_correct(self, address: str) -> bool:
-        """Once a period for each address, however often it asks."""
-        at = self._corrected.get(address)
-        if at is not None and self._now - at < self.rules.period:
-            return False
-        self._corrected[address] = self._now
-        return True
-
     # Answers
 
     def _pinged(self, address: str, ping: Ping) -> None:
@@ -450,10 +362,8 @@
             return
         if ack.of_life != held.life:
             self._prove(held, ack)
-        elif held.state == State.SUSPECT and (kept := self._deadlines.get(held.name)) is not None:
-            # It answered us: whatever others say, its own word is on its way, and gets the time to come.
-            span = int(self.rules.suspicion * self.rules.period)
-            self._deadlines[held.name] = kept[0], max(kept[1], self._now + span)
+        elif held.state == State.SUSPECT:
+            self._suspicions.answered(held.name, self._now)
 
     def _prove(self, held: Record, ack: Ack) -> None:
         """Another life answers at the address of the one we hold: it hears of its former self here, and goes
@@ -498,7 +408,7 @@
         """With one of those who are there, and with one of those who are not believed to be: so two halves of
         a cut find each other, though each took the other for gone."""
         self._at(self._now + self._exchange_span(), self._exchange)
-        self._corrected.clear()
+        self._seldom.clear()
         for name in self._some(1):
             self._sync(self.view.records[name].address)
         strangers = self.view.strangers(self.seeds)
@@ -524,31 +434,23 @@
             self._sync(address)
 
     def _answer_sync(self, address: str, sync: Sync) -> None:
-        mine = self.view.buckets
         if len(sync.buckets) != BUCKETS:
             return
-        differ = [at for at in range(BUCKETS) if mine[at] != sync.buckets[at]]
+        differ = differing(self.view.buckets, sync.buckets)
         if differ:
-            self._pages(address, differ, tuple(differ))
+            self._pages(address, set(differ), tuple(differ))
         else:
             # The same view: said so, or one that is new here would not know that it was heard.
             self._send(address, Pages(*self._head(), (), (self.mine,)))
 
-    def _answer_pages(self, address: str, pages: Pages) -> None:
-        if pages.wants:
-            self._pages(address, [at for at in pages.wants if 0 <= at < BUCKETS], ())
-
-    def _pages(self, address: str, buckets: list[int], wants: tuple[int, ...]) -> None:
-        head, page, room = self._head(), [self.mine], self.rules.room - self.mine.size
-        for record in self.view.of_buckets(set(buckets)):
-            if record.name == self.mine.name:
-                continue
-            if record.size > room:
-                self._send(address, Pages(*head, wants, tuple(page)))
-                page, room, wants = [], self.rules.room, ()
-            page.append(record)
-            room -= record.size
-        self._send(address, Pages(*head, wants, tuple(page)))
+    def _answer_pages(self, address: str, heard: Pages) -> None:
+        if heard.wants:
+            self._pages(address, wanted(heard.wants), ())
+
+    def _pages(self, address: str, buckets: set[int], wants: tuple[int, ...]) -> None:
+        for page in pages(self.view, self.mine, buckets, self.rules.room):
+            self._send(address, Pages(*self._head(), wants, page))
+            wants = ()
 
 
 def _facts(record: Record) -> tuple[object, ...]:
--- a/valverouter/membership/view.py
+++ b/valverouter/membership/view.py
@@ -46,7 +46,6 @@
     def __init__(self, old_addresses: int) -> None:
         self.records: dict[str, Record] = {}
         self.since: dict[str, int] = {}
-        self.accusers: dict[str, set[str]] = {}
         self.living = 0
         self.gone = 0
         self.suspects = 0
@@ -59,7 +58,6 @@
         """The same table, for another instance."""
         other = View(self.old.maxlen or 0)
         other.records, other.since = self.records.copy(), self.since.copy()
-        other.accusers = {name: accusers.copy() for name, accusers in self.accusers.items()}
         other.living, other.gone, other.suspects = self.living, self.gone, self.suspects
         other.buckets, other.digest = self.buckets.copy(), self.digest
         other.old.extend(self.old)
@@ -88,8 +86,6 @@
         self._count(news, 1)
         if held is None or held.state != news.state or held.life != news.life:
             self.since[name] = now
-        if news.state != State.SUSPECT or held is None or held.seq != news.seq:
-            self.accusers.pop(name, None)
         before, after = self._digests.pop(name, 0), 0
         if news.state <= State.SUSPECT:
             # Most changes are suspicions and their ends, and leave what is told of a member as it was.
@@ -117,7 +113,6 @@
         self._count(held, -1)
         self._change(name, self._digests.pop(name, 0), 0)
         self.since.pop(name, None)
-        self.accusers.pop(name, None)
         if held.state == State.GONE and held.address not in self.old:
             self.old.append(held.address)
 
