--- a/valverouter/cli/tables.py
+++ b/valverouter/cli/tables.py
@@ -29,7 +29,8 @@
 
 
 def print_accounts(console: Console, accounts: dict[str, Account], importance: dict[str, float]) -> None:
-    table = Table(title="Dialogs by traffic type")
+    # Ten columns whole in 80: no lines between them, and one space.
+    table = Table(title="Dialogs by traffic type", box=None, pad_edge=False, padding=(0, 1, 0, 0))
     heads = (
         "type",
         "offered",
@@ -43,7 +44,7 @@
         "service",
     )
     for head in heads:
-        table.add_column(head, justify="left" if head == "type" else "right")
+        table.add_column(head, justify="left" if head == "type" else "right", overflow="fold")
     for kind, one in accounts.items():
         said = one.answers
         counts = (one.offered, one.tries, one.in_objective, one.late)
