--- a/valverouter/cli/tables.py
+++ b/valverouter/cli/tables.py
@@ -35,7 +35,7 @@
         "type",
         "offered",
         "tries",
-        "in objective",
+        "in\nobjective",
         "late",
         "declined",
         "aborted",
