--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -290,6 +290,21 @@
         assert first.counts["size-differs"] == 1, "the rig's terms say 1, and there were 2"
 
 
+async def test_two_processes_with_one_name_both_tell_it_on_sockets() -> None:
+    first = task("e0")
+    async with running(first) as nursery:
+        one, two = task("e1", (at(first),)), task("e1", (at(first),))
+        two._life += 1
+        await nursery.start(one.run)
+        await until(lambda: living(first) == {"e0", "e1"})
+        await nursery.start(two.run)
+        await until(lambda: one.counts["conflict"] == two.counts["conflict"] == 1)
+        await until(lambda: first.core is not None and first.core.view.records["e1"].twin)
+        restarts = first.counts["restarted"]
+        await trio.sleep(1.5)
+        assert first.counts["restarted"] == restarts <= 1 and first.counts["gone"] == 0
+
+
 async def test_a_member_with_an_old_key_is_dropped_and_counted_and_comes_in_with_both() -> None:
     first = task("e0")
     async with running(first) as nursery:
--- a/valverouter/days/viewing.py
+++ b/valverouter/days/viewing.py
@@ -40,8 +40,11 @@
 
 
 class Views:
-    """Who runs, and the rows of what they believe. Asked once a period: the asking is a load on the rig too, and
-    with it at its limit the paths between the processes are later than any fault makes them."""
+    """Who runs, and the rows of what they believe.
+
+    Asked once a period: the asking is a load on the rig too, and with it at its limit the paths between the
+    processes are later than any fault makes them.
+    """
 
     def __init__(self, day: Day, between: DayBetween, world: World, keys: tuple[bytes, ...]) -> None:
         self.day = day
