--- /dev/null
+++ b/valverouter/rollout/limits.py
@@ -0,0 +1,149 @@
+"""How many may be out at once, and how much must stay.
+
+Out is whoever is draining, stopped, starting, back but cold, or away without leave: a crash uses up the room
+that a drain would have had. Nothing here knows of time: who is out comes in by evidence alone.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Sort(Enum):
+    """What can be out; the limits of one sort know nothing of the other's."""
+
+    EDGE = "edge proxy"
+    SERVER = "server"
+
+    @property
+    def several(self) -> str:
+        return "edge proxies" if self is Sort.EDGE else "servers"
+
+
+@dataclass(frozen=True, slots=True)
+class Unit:
+    """An edge proxy or a core server. `capacity`: dialogs of an edge proxy, lines of a server; `processor`: a
+    server's, in any unit that all of them share."""
+
+    name: str
+    sort: Sort
+    region: str
+    capacity: int = 0
+    processor: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """For one sort. `most`: out at once in all; `in_region`: in any one region, with others by name in
+    `regions`. `least_capacity`, `least_processor`: shares of a region's that must stay, 0 to 1."""
+
+    most: int
+    in_region: int
+    regions: Mapping[str, int] = field(default_factory=dict)
+    least_capacity: float = 0.0
+    least_processor: float = 0.0
+
+    def of(self, region: str) -> int:
+        return self.regions.get(region, self.in_region)
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Which limit, how far it is used, and by whom."""
+
+    limit: str
+    allowed: float
+    used: float
+    by: tuple[str, ...]
+
+    def __str__(self) -> str:
+        names = ", ".join(self.by) or "nobody"
+        return f"{self.limit}: {self.used:g} of {self.allowed:g}, used by {names}"
+
+
+def refusal(limits: Limits, units: Iterable[Unit], out: Iterable[str], asked: Unit) -> Refusal | None:
+    """Why `asked` may not go out as well; None: it may. One that is out already uses no more room."""
+    same = [unit for unit in units if unit.sort is asked.sort]
+    gone = {unit.name for unit in same} & set(out)
+    if asked.name in gone:
+        return None
+    if len(gone) + 1 > limits.most:
+        return Refusal(f"{asked.sort.several} out at once", limits.most, len(gone), tuple(sorted(gone)))
+    here = [unit for unit in same if unit.region == asked.region]
+    away = sorted(unit.name for unit in here if unit.name in gone)
+    if len(away) + 1 > limits.of(asked.region):
+        what = f"{asked.sort.several} out at once in {asked.region}"
+        return Refusal(what, limits.of(asked.region), len(away), tuple(away))
+    stay = [unit for unit in here if unit.name not in gone and unit.name != asked.name]
+    for what, least, whole, stays in (
+        ("capacity", limits.least_capacity, _capacity(here), _capacity(stay)),
+        ("processor", limits.least_processor, _processor(here), _processor(stay)),
+    ):
+        # Reckoned against the region's whole, so that what is away counts as missing and not as never there.
+        if whole and stays < least * whole:
+            return Refusal(f"least {what} of {asked.region}", least * whole, stays, tuple(away))
+    return None
+
+
+def _capacity(units: list[Unit]) -> float:
+    return sum(unit.capacity for unit in units)
+
+
+def _processor(units: list[Unit]) -> float:
+    return sum(unit.processor for unit in units)
+
+
+def impossible(limits: Limits, sort: Sort, units: Iterable[Unit]) -> list[str]:
+    """Flaws by which no order could ever be met: those that contradict each other or the fleet."""
+    flaws = []
+    same = [unit for unit in units if unit.sort is sort]
+    if limits.most < 1 or limits.in_region < 1:
+        flaws.append(f"no {sort.value} could ever go out: the most is below 1")
+    if limits.in_region > limits.most:
+        flaws.append(
+            f"more {sort.several} may be out in a region ({limits.in_region}) than in all ({limits.most})"
+        )
+    if len(same) > 1 and limits.most >= len(same):
+        flaws.append(f"all {len(same)} {sort.several} may be out at once")
+    regions = Counter(unit.region for unit in same)
+    for region in sorted(limits.regions.keys() - regions.keys()):
+        flaws.append(f"there is no {sort.value} in {region}")
+    for region in sorted(regions):
+        here = [unit for unit in same if unit.region == region]
+        whole = sum(unit.capacity for unit in here)
+        least = min((unit.capacity for unit in here), default=0)
+        if whole and whole - least < limits.least_capacity * whole:
+            flaws.append(
+                f"no {sort.value} of {region} could go out: it would leave less than the least capacity"
+            )
+    return flaws
+
+
+def waves(limits: Limits, units: list[Unit], out: Iterable[str], wanted: list[str]) -> list[list[str]]:
+    """`wanted` in the order in which they may go out together: one, then few, then as many as the limits let,
+    each wave within a region. Raises ValueError with the refusal where one never could."""
+    by_name = {unit.name: unit for unit in units}
+    regions = Counter(by_name[name].region for name in wanted)
+    # The smallest region first: what a release harms is seen where least depends on it.
+    order = sorted(wanted, key=lambda name: (regions[by_name[name].region], by_name[name].region, name))
+    made: list[list[str]] = []
+    size = 1
+    while order:
+        wave: list[str] = []
+        region = by_name[order[0]].region
+        for name in [name for name in order if by_name[name].region == region]:
+            if len(wave) == size:
+                break
+            why = refusal(limits, units, {*out, *wave}, by_name[name])
+            if why is not None:
+                if not wave:
+                    raise ValueError(f"{name}: {why}")
+                break
+            wave.append(name)
+        made.append(wave)
+        order = [name for name in order if name not in wave]
+        size *= 3
+    return made
