--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import random
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from valverouter.emulator.councils import Broken, Course
+from valverouter.ledger.councilstore import CouncilStore
+from valverouter.ledger.store import LedgerBusyError, LedgerError
 from valverouter.rollout.council import (
     KEPT,
     PATIENCE,
@@ -19,7 +26,11 @@
     Entry,
     Members,
     Part,
+    Save,
     SaveEntries,
+    SaveSnapshot,
+    SaveTerm,
+    Snapshot,
     Vote,
     Voted,
 )
@@ -447,3 +458,119 @@
     for _ in range(200):
         evidence.span({"n": Tally(0, 20)}, {"n": Tally(10, 20)}, "declined")
     assert evidence.verdict is Verdict.HALT
+
+
+# What a councillor keeps
+
+
+def enrolled() -> Enrol:
+    return Enrol(tuple(units(2)), ((Sort.EDGE, Limits(2, 1, {"north": 1}, 0.5)),))
+
+
+def test_what_is_committed_is_read_back_as_it_was_applied(tmp_path: Path) -> None:
+    store, here = CouncilStore(tmp_path, 7), Durable(7)
+    one = register()
+    members = Members((("c0", 7), ("c1", 8)))
+    steps: list[list[Save]] = [
+        [SaveTerm(3, "c1"), SaveEntries(1, (Entry(1, members), Entry(1, enrolled()), Entry(2, None)))],
+        [SaveEntries(3, (Entry(3, Ask("a", "e0", "roll")), Entry(3, Away("e1")), Entry(3, Halt("why"))))],
+        [SaveSnapshot(Snapshot(4, 3, members, one))],
+        [SaveEntries(6, (Entry(3, Back("e1")),)), SaveTerm(4, "")],
+    ]
+    for saves in steps:
+        store.commit(saves)
+        for save in saves:
+            here.apply(save)
+        assert store.load() == here
+    store.close()
+    again = CouncilStore(tmp_path, 99)
+    assert again.load() == here, "its disk's number is the one that it began with"
+    with pytest.raises(LedgerBusyError):
+        CouncilStore(tmp_path, 1)
+    again.commit([SaveSnapshot(Snapshot(40, 9, members, one))])
+    assert again.load().entries == [], "a snapshot past all that is here"
+    again.close()
+
+
+def test_a_commit_that_fails_leaves_nothing_of_it(tmp_path: Path) -> None:
+    store = CouncilStore(tmp_path, 7)
+    store.commit([SaveTerm(1, "c0")])
+    bad: Any = SaveEntries(1, (Entry(1, object()),))
+    with pytest.raises(TypeError):
+        store.commit([SaveTerm(2, "c1"), bad])
+    assert (store.load().term, store.load().voted) == (1, "c0")
+    store.close()
+
+
+@pytest.mark.parametrize("what", ["flipped", "cut off", "entry missing"])
+def test_a_store_that_can_not_be_read_whole_is_a_lost_disk(tmp_path: Path, what: str) -> None:
+    store = CouncilStore(tmp_path, 7)
+    store.commit([SaveEntries(1, tuple(Entry(1, Ask(f"ask-{at}", "e0")) for at in range(400)))])
+    if what == "entry missing":
+        with store._env.begin(write=True) as commit:
+            commit.delete((200).to_bytes(8, "big"), db=store._record)
+    store.close()
+    file = tmp_path / "data.mdb"
+    data = bytearray(file.read_bytes())
+    if what == "flipped":
+        data[data.index(b"ask-333")] ^= 1
+    elif what == "cut off":
+        data = data[: len(data) * 2 // 3]
+    file.write_bytes(data)
+    with pytest.raises(LedgerError):
+        CouncilStore(tmp_path, 8).load()
+
+
+def test_killed_while_it_writes_a_store_holds_whole_commits(tmp_path: Path) -> None:
+    """Each commit puts one term and as many entries of it; whatever is found agrees with itself."""
+    script = """
+import sys
+from pathlib import Path
+from valverouter.ledger.councilstore import CouncilStore
+from valverouter.rollout.council import Entry, SaveEntries, SaveTerm
+store = CouncilStore(Path(sys.argv[1]), 7)
+durable, first = store.load(), store.load().first
+term = durable.term
+print("on", flush=True)
+while True:
+    term += 1
+    last = len(durable.entries)
+    saves = [SaveTerm(term, "c0"), SaveEntries(last + 1, (Entry(term, None), Entry(term, None)))]
+    store.commit(saves)
+    for save in saves:
+        durable.apply(save)
+"""
+    chance = random.Random(5)
+    for _ in range(6):
+        process = subprocess.Popen([sys.executable, "-c", script, str(tmp_path)], stdout=subprocess.PIPE)
+        assert process.stdout is not None and process.stdout.readline() == b"on\n"
+        time.sleep(chance.uniform(0.0, 0.05))
+        process.kill()
+        process.wait()
+        process.stdout.close()
+        store = CouncilStore(tmp_path, 1)
+        durable = store.load()
+        store.close()
+        assert len(durable.entries) == 2 * durable.term
+        assert [entry.term for entry in durable.entries[-2:]] == [durable.term] * min(2, len(durable.entries))
+
+
+def test_a_course_s_councillor_lives_on_in_a_store(tmp_path: Path) -> None:
+    """Each save of a course also goes to a store, and what is read back is what the course's disk holds."""
+    course = Course(3)
+    seat = course.seats["c1"]
+    store = CouncilStore(tmp_path, seat.durable.disk)
+    store.commit([SaveEntries(1, tuple(seat.durable.entries))])
+    applies = Durable.apply
+
+    def both(self: Durable, save: Save) -> None:
+        applies(self, save)
+        if self is seat.durable:
+            store.commit([save])
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Durable, "apply", both)
+        course._fault = lambda: None  # type: ignore[method-assign]
+        course.run(12)
+    assert seat.durable.entries and store.load() == seat.durable
+    store.close()
--- a/valverouter/rollout/council.py
+++ b/valverouter/rollout/council.py
@@ -20,6 +20,8 @@
 from enum import Enum
 from typing import Any
 
+from msgspec import Struct
+
 SECOND = 10**9
 # An election begins between one and two of these without word of a leader; a leader speaks four times in one.
 PATIENCE = SECOND
@@ -35,8 +37,7 @@
     LEADER = "leader"
 
 
-@dataclass(frozen=True, slots=True)
-class Members:
+class Members(Struct, frozen=True, tag=True):
     """Who the council is, as an entry of its record: names with their disks."""
 
     disks: tuple[tuple[str, int], ...]
--- a/valverouter/rollout/permits.py
+++ b/valverouter/rollout/permits.py
@@ -12,14 +12,15 @@
 
 from dataclasses import dataclass, field, replace
 
+from msgspec import Struct
+
 from valverouter.rollout.limits import Limits, Refusal, Sort, Unit, refusal
 
 # Outcomes of asks are kept so that one that is told again is answered again; the oldest leave.
 ANSWERS_KEPT = 1_024
 
 
-@dataclass(frozen=True, slots=True)
-class Ask:
+class Ask(Struct, frozen=True, tag=True):
     """`name` asks to go out, for an order. `id` is the ask's own: repeated, it gets its first answer."""
 
     id: str
@@ -27,31 +28,27 @@
     order: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Back:
+class Back(Struct, frozen=True, tag=True):
     """`name` serves again, is warm and takes its share; `number`: the permit it went out by, 0: without."""
 
     name: str
     number: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Away:
+class Away(Struct, frozen=True, tag=True):
     """`name` was found gone, or was stopped by its machine, without leave."""
 
     name: str
 
 
-@dataclass(frozen=True, slots=True)
-class Enrol:
+class Enrol(Struct, frozen=True, tag=True):
     """What there is in the fleet, and its limits; `units` of the same name take the former's place."""
 
     units: tuple[Unit, ...] = ()
     limits: tuple[tuple[Sort, Limits], ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Halt:
+class Halt(Struct, frozen=True, tag=True):
     """Nothing further goes out, until `over`."""
 
     why: str
