--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -36,6 +36,8 @@
 )
 from valverouter.rollout.evidence import Evidence, Rule, Tally, Verdict
 from valverouter.rollout.limits import Limits, Sort, Unit, impossible, refusal, waves
+from valverouter.rollout.model import PLANTS, Model
+from valverouter.rollout.model import Broken as ModelBroken
 from valverouter.rollout.permits import Ask, Away, Back, Command, Enrol, Fence, Halt, Permit, Register
 
 SECOND = 10**9
@@ -168,6 +170,9 @@
     assert fence.accepts(Permit(5, "e0", "")) and fence.accepts(Permit(5, "e0", ""))
     assert fence.accepts(Permit(8, "e0", "")) and not fence.accepts(Permit(5, "e0", ""))
     assert fence.accepts(Permit(2, "e1", ""))
+    fence.over(Permit(8, "e0", ""))
+    assert not fence.accepts(Permit(8, "e0", "")), "a copy that comes late"
+    assert fence.accepts(Permit(9, "e0", ""))
 
 
 COMMANDS = st.one_of(
@@ -404,10 +409,26 @@
         assert course.is_whole() == "", f"seed {seed}"
 
 
-def test_a_member_that_votes_on_without_its_disk_is_found() -> None:
+@pytest.mark.parametrize("plant", ["disk", "fence"])
+def test_courses_find_what_is_planted(plant: str) -> None:
+    """A member that votes on without its disk; a permit that is used again after its end."""
     with pytest.raises(Broken):
-        for seed in range(40):
-            Course(seed, plant="disk").run(40)
+        for seed in range(60):
+            Course(seed, plant=plant).run(40)
+
+
+@pytest.mark.parametrize(
+    ("model", "states"), [(Model(terms=1, crashes=0), 1_879), (Model(terms=2, length=1, crashes=1), 12_416)]
+)
+def test_no_order_of_steps_lets_more_out_than_allowed(model: Model, states: int) -> None:
+    assert model.walk() == states
+
+
+@pytest.mark.parametrize("without", PLANTS)
+def test_the_walk_finds_each_planted_fault(without: str) -> None:
+    terms, length, crashes = (2, 1, 1) if without == "memory" else (1, 3, 0)
+    with pytest.raises(ModelBroken):
+        Model(terms=terms, length=length, crashes=crashes, without=without, deep=crashes > 0).walk()
 
 
 # The evidence
--- a/valverouter/emulator/councils.py
+++ b/valverouter/emulator/councils.py
@@ -211,7 +211,10 @@
         assert seat.register is not None
         answer = seat.register.apply(index, what)
         if answer is not None:
-            self.at(self.now + self._delay("", ""), self._answered, answer.id, answer.permit, answer.why)
+            told = answer.id, answer.permit, answer.why
+            self.at(self.now + self._delay("", ""), self._answered, *told)
+            if self.chance.random() < 0.1:
+                self.at(self.now + 3 * SECOND, self._answered_late, answer.permit)
         if len(seat.register.out) > self.limits.most and not isinstance(what, Away):
             crashed = [name for name, permit in seat.register.out.items() if permit is None]
             if len(seat.register.out) - len(crashed) > self.limits.most:
@@ -275,8 +278,21 @@
         self.found["out"] += 1
         self._watch()
 
+    def _answered_late(self, permit: Permit | None) -> None:
+        """A copy of the word, long after: its holder may have gone out and come in by it meanwhile."""
+        holder = self.holders[permit.name] if permit is not None else None
+        if permit is None or holder is None or holder.dead or holder.out:
+            return
+        if self.plant == "fence" or self.fence.accepts(permit):
+            holder.permit, holder.out, holder.asking = permit, True, ""
+            self._watch()
+        else:
+            self.found["void"] += 1
+
     def _comes_back(self, holder: Holder) -> None:
         holder.out = False
+        assert holder.permit is not None
+        self.fence.over(holder.permit)
         self._tell_back(holder)
 
     def _tell_back(self, holder: Holder) -> None:
--- a/valverouter/rollout/permits.py
+++ b/valverouter/rollout/permits.py
@@ -157,14 +157,22 @@
 
 @dataclass(slots=True)
 class Fence:
-    """At whoever acts on permits: the highest number seen for each name. A lower one is void, however late
-    its
-    holder wakes."""
+    """At whoever acts on permits: the highest number seen of each name, and the highest that is over. A
+    permit
+    that is over, or lower than one seen, is void, however late its word comes or its holder wakes."""
 
     highest: dict[str, int] = field(default_factory=dict)
+    spent: dict[str, int] = field(default_factory=dict)
 
     def accepts(self, permit: Permit) -> bool:
-        if permit.number < self.highest.get(permit.name, 0):
+        if permit.number < self.highest.get(permit.name, 0) or permit.number <= self.spent.get(
+            permit.name, 0
+        ):
             return False
         self.highest[permit.name] = permit.number
         return True
+
+    def over(self, permit: Permit) -> None:
+        """Its holder is in again. Kept open, a copy of its word that comes late let the holder out once more
+        while the council took it for in."""
+        self.spent[permit.name] = max(self.spent.get(permit.name, 0), permit.number)
