--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -24,7 +24,7 @@
 from valverouter.edge.proxy import OUTCOMES, EdgeProxy
 from valverouter.interface import Outcome
 from valverouter.signalling import setup, tap
-from valverouter.terms.day import KINDS, Day, Trouble, day, load_day
+from valverouter.terms.day import COMING_KINDS, KINDS, Day, Trouble, day, load_day
 from valverouter.terms.ini import IniFile
 
 MS, SECOND = 10**6, 10**9
@@ -86,6 +86,8 @@
     "balancer_stall": {"length": 3 * SECOND, "part": 0.6},
     "peer_down": {"length": 3 * SECOND, "part": 0.5},
     "vanish": {"length": 5 * SECOND, "part": 0.5},
+    "balancer_leave": {"length": SECOND, "part": 0.6},
+    "balancer_late": {"start": 2 * SECOND, "on": ("e1",)},
 }
 
 # What shows in the record that the trouble did strike.
@@ -103,7 +105,7 @@
 }
 
 
-@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("kind", (*KINDS, *COMING_KINDS))
 def test_each_kind_of_trouble_with_the_rules_kept(kind: str) -> None:
     rows = run_virtual(small((kind, HOW[kind])))
     verdict = audit(rows)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -201,6 +201,7 @@
     [
         ("kind = loss", "kind = los", "'los' is not known; known are loss, late"),
         ("groups = north, south", "groups = north", "a split needs two groups or more"),
+        ("start = 4s\non = e3", "start = 4s", "missing: who is not there from the beginning"),
         ("senders = e1", "senders = e9", "'e9' is neither an edge proxy nor a region of this day"),
         (
             "[between]\nperiod = 250ms\nremembers = 60s\nseeds = 2\nsettles = 30\n",
--- a/valverouter/days/virtual.py
+++ b/valverouter/days/virtual.py
@@ -345,8 +345,7 @@
     async def stop(self) -> None:
         if self.proxy is not None:
             self.proxy.stop()
-            if self._views is not None:
-                await self.proxy.ended.wait()
+            await self.proxy.ended.wait()
             await trio.sleep(0.01)
 
 
--- a/valverouter/terms/day.py
+++ b/valverouter/terms/day.py
@@ -34,9 +34,9 @@
     "balancer_stall",
     "peer_down",
     "vanish",
-    "balancer_late",
-    "balancer_leave",
 )
+# Of edge proxies that leave and come; the emulator plays them for the view alone.
+COMING_KINDS = ("balancer_late", "balancer_leave")
 
 
 # As the paths' model has them.
@@ -315,8 +315,11 @@
     if not _servers(regions):
         ini.flaw("", "", "no [region NAME] has servers")
     for one, trouble in troubles.items():
-        if trouble and trouble.kind not in KINDS:
-            ini.flaw(f"trouble {one}", "kind", f"{trouble.kind!r} is not known; known are {', '.join(KINDS)}")
+        if trouble and trouble.kind not in (*KINDS, *COMING_KINDS):
+            known = ", ".join((*KINDS, *COMING_KINDS))
+            ini.flaw(f"trouble {one}", "kind", f"{trouble.kind!r} is not known; known are {known}")
+        if trouble and trouble.kind == "balancer_late" and not trouble.on:
+            ini.flaw(f"trouble {one}", "on", "missing: who is not there from the beginning")
     between = ini.read("between", DayBetween) if "between" in ini.sections else None
     paths = {one: ini.read(f"path {one}", PathTerms) for one in ini.named("path")}
     if fleet:
