--- a/benchmarks/views.py
+++ b/benchmarks/views.py
@@ -26,7 +26,7 @@
 from valverouter.fleet.sealing import size_of
 from valverouter.membership.core import Membership
 from valverouter.membership.messages import Gossip, Message
-from valverouter.membership.records import Record, State, told
+from valverouter.membership.records import Record, State, said, told
 from valverouter.membership.rules import Rules
 from valverouter.membership.view import View
 from valverouter.membership.voice import Told
@@ -56,7 +56,7 @@
         self._heard[message.name] = now
         held = self.view.records.get(message.name)
         if held is not None and not held.lives:
-            self.view.put(told(_next(held), State.ALIVE, ""), now)
+            self.view.put(said(held), now)
 
     def tick(self, now: int) -> None:
         late = now - self.due > self.rules.period // 2
@@ -74,10 +74,6 @@
                 self.told.append(Told(now, "gone", gone, self.mine.name))
 
 
-def _next(held: Record) -> Record:
-    return Record(held.name, held.region, held.place, held.address, held.number, held.life, held.seq + 1)
-
-
 @dataclasses.dataclass(frozen=True)
 class Case:
     """One run."""
--- a/valverouter/cli/edging.py
+++ b/valverouter/cli/edging.py
@@ -20,9 +20,8 @@
 from valverouter.edge.keeping import edge_proxy
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import Sockets, long_lived
-from valverouter.fleet.datagrams import FleetTask
+from valverouter.fleet.datagrams import FleetTask, facts_of
 from valverouter.ledger.store import Ledger, LedgerBusyError, LedgerError
-from valverouter.membership.records import Phase
 from valverouter.terms.edge import EdgeTerms, load_edge_terms, load_settled
 from valverouter.terms.ini import FlawedTermsError
 
@@ -59,7 +58,7 @@
                     terms.between,
                     surroundings,
                     secrets.randbits(64),
-                    lambda: (Phase.DRAINING if proxy.stopping else Phase.SERVING, proxy.terms.digest),
+                    lambda: facts_of(proxy),
                     version("valverouter"),
                 )
                 await nursery.start(fleet.run)
--- a/valverouter/days/emulated_views.py
+++ b/valverouter/days/emulated_views.py
@@ -11,13 +11,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import msgspec
-
-from valverouter.days.paths import path_faults
+from valverouter.days.paths import path_faults, paths_of
 from valverouter.emulator.views import WALL, Node, Views
 from valverouter.membership.rules import Rules
 from valverouter.membership.voice import Told
-from valverouter.servermodel.paths import Paths
 from valverouter.terms.day import Day, Trouble
 
 
@@ -43,16 +40,13 @@
     chance = random.Random(f"{day.terms.seed}/paths")
     found: Counter[str] = Counter()
 
-    def delay(sender: str, receiver: str) -> int:
-        base = day.delays.same if names[sender] == names[receiver] else day.delays.cross
-        return int(base * (1 + day.delays.jitter * (2 * chance.random() - 1)))
-
     def watch(node: Node, told: Told) -> None:
         found[told.what] += 1
 
     rules = Rules(period=between.period, remembers=between.remembers)
-    faults = path_faults(_with_members(day, names), day.terms.settle)
-    views = Views(rules, Paths(faults, chance.random, delay), day.terms.seed, watch)
+    faults = path_faults(day, day.terms.settle, names)
+    paths = paths_of(day, chance.random, day.terms.settle, names)
+    views = Views(rules, paths, day.terms.seed, watch)
     seeds = tuple(f"e{at}:1" for at in range(between.seeds))
     views.full(members, seeds, lambda at: names[f"e{at}"])
     last = max([0, *(fault.until for fault in faults)])
@@ -78,31 +72,6 @@
     return with_edges[at % len(with_edges)]
 
 
-def _with_members(day: Day, names: dict[str, str]) -> Day:
-    """The day with each region's name in a fault written out as its members."""
-
-    def members(words: tuple[str, ...]) -> tuple[str, ...]:
-        out = []
-        for word in words:
-            parts = []
-            for part in word.split("+"):
-                of_region = [name for name, region in names.items() if region == part.strip()]
-                parts += of_region or [part.strip()]
-            out.append("+".join(parts))
-        return tuple(out)
-
-    paths = {
-        one: msgspec.structs.replace(
-            path,
-            senders=members(path.senders),
-            receivers=members(path.receivers),
-            groups=members(path.groups),
-        )
-        for one, path in day.paths.items()
-    }
-    return msgspec.structs.replace(day, paths=paths)
-
-
 def _script(
     views: Views, day: Day, trouble: Trouble, names: list[str], draws: random.Random, seeds: tuple[str, ...]
 ) -> int:
--- a/valverouter/days/viewing.py
+++ b/valverouter/days/viewing.py
@@ -20,9 +20,9 @@
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import Sockets, Surroundings
 from valverouter.fleet.asking import Heard
-from valverouter.fleet.datagrams import FleetTask
+from valverouter.fleet.datagrams import FleetTask, facts_of
 from valverouter.fleet.tool import Asker
-from valverouter.membership.records import LIVING, Phase
+from valverouter.membership.records import LIVING
 from valverouter.membership.voice import Told
 from valverouter.servermodel.paths import Paths
 from valverouter.signalling.tap import Found, Ran, Settles, Viewed
@@ -208,16 +208,13 @@
             told,
             surroundings,
             life,
-            lambda: (Phase.DRAINING if proxy.stopping else Phase.SERVING, proxy.terms.digest),
+            lambda: facts_of(proxy),
             "virtual",
             lambda said: self._hears(name, said),
         )
         self._tasks[name] = task
         return task
 
-    def core_of(self, name: str) -> FleetTask:
-        return self._tasks[name]
-
     def began(self, name: str) -> None:
         core = self._tasks[name].core
         assert core is not None
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -354,7 +354,8 @@
 
     def _from_caller(self, event: FromCaller) -> None:
         if isinstance(event.message, setup.Setup):
-            self._came_at = event.came_at or self._came_during_a_stop(event.message.no_answer) or self._now
+            unread = self._unread_since and self._came_during_a_stop(event.message.no_answer)
+            self._came_at = event.came_at or unread or self._now
             self._take(event.caller, event.message)
         else:
             self._leaves(event.caller, event.message)
--- a/valverouter/edge/surroundings.py
+++ b/valverouter/edge/surroundings.py
@@ -196,7 +196,6 @@
         except BaseException:
             self._socket.close()
             raise
-        self._family = family
         self.address = _shown(self._socket.getsockname())
         # Few addresses, asked for with each datagram; as many as a fleet has, and then begun anew.
         self._known: dict[str, tuple[str, int]] = {}
--- a/valverouter/emulator/views.py
+++ b/valverouter/emulator/views.py
@@ -14,7 +14,7 @@
 
 from valverouter.membership.core import Membership
 from valverouter.membership.messages import Message
-from valverouter.membership.records import Record, State
+from valverouter.membership.records import Record
 from valverouter.membership.rules import Rules
 from valverouter.membership.view import View
 from valverouter.membership.voice import Told
@@ -210,7 +210,3 @@
             if self.is_settled():
                 return self.now
         return None
-
-    def believes(self, who: str, of: str) -> State:
-        held = self.nodes[who].core.view.records.get(of)
-        return State.UNKNOWN if held is None else held.state
--- a/valverouter/fleet/datagrams.py
+++ b/valverouter/fleet/datagrams.py
@@ -15,6 +15,7 @@
 import structlog
 import trio
 
+from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import Datagrams, Surroundings
 from valverouter.fleet.asking import Query, Shown, pages_of, rows_of
 from valverouter.fleet.sealing import MOST, Opener, Seal, TooLongError
@@ -38,6 +39,11 @@
 log = structlog.get_logger()
 
 
+def facts_of(proxy: EdgeProxy) -> tuple[Phase, str]:
+    """What an edge proxy tells its fleet of itself."""
+    return Phase.DRAINING if proxy.stopping else Phase.SERVING, proxy.terms.digest
+
+
 class FleetTask:
     """An instance's place in its fleet. `facts` tells its phase and its terms' digest, asked now and then.
 
--- a/valverouter/ledger/councilstore.py
+++ b/valverouter/ledger/councilstore.py
@@ -8,9 +8,6 @@
 
 from __future__ import annotations
 
-import fcntl
-import os
-import zlib
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
@@ -18,7 +15,7 @@
 import lmdb
 import msgspec
 
-from valverouter.ledger.store import LedgerBusyError, LedgerError
+from valverouter.ledger.file import LedgerError, body_of, cover, owned, summed
 from valverouter.rollout.council import (
     Durable,
     Entry,
@@ -56,17 +53,11 @@
     """An open store, one process at a time. `fresh_disk` names an empty one."""
 
     def __init__(self, path: Path, fresh_disk: int) -> None:
-        path.mkdir(parents=True, exist_ok=True)
         self.path = path
-        self._lock = (path / "owner").open("wb")
-        try:
-            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            self._lock.close()
-            raise LedgerBusyError(f"{path} is held by another process") from None
+        self._lock = owned(path)
         try:
             self._env = lmdb.open(str(path), map_size=MOST, max_dbs=2, sync=True, metasync=True)
-            self._cover()
+            cover(path, self._env)
             self._meta = self._env.open_db(b"meta")
             self._record = self._env.open_db(b"record")
             self._begin(fresh_disk)
@@ -81,14 +72,6 @@
         self._env.close()
         self._lock.close()
 
-    def _cover(self) -> None:
-        # As the ledger's: a file that was cut off is mapped past its end, and reading there ends the process.
-        file = self.path / "data.mdb"
-        info = self._env.info()
-        needs = (info["last_pgno"] + 1) * self._env.stat()["psize"]
-        if file.stat().st_size < needs:
-            os.truncate(file, needs)
-
     def _begin(self, fresh_disk: int) -> None:
         with self._env.begin(write=True) as commit:
             found = commit.get(b"format", db=self._meta)
@@ -123,10 +106,10 @@
             raise LedgerError(f"{self.path}: {error}") from error
 
     def _read(self, value: Any, what: str) -> bytes:
-        data = bytes(value) if value is not None else b""
-        if len(data) < 4 or zlib.crc32(data[4:]) != int.from_bytes(data[:4], "big"):
+        body = body_of(bytes(value)) if value is not None else None
+        if body is None:
             raise LedgerError(f"{self.path}: {what} is damaged")
-        return data[4:]
+        return body
 
     def commit(self, saves: Iterable[Save]) -> None:
         """All of them, on disk when it returns; LedgerError where they are not, and then none is."""
@@ -165,5 +148,4 @@
 
 
 def _kept(value: Any) -> bytes:
-    data = _encoder.encode(value)
-    return zlib.crc32(data).to_bytes(4, "big") + data
+    return summed(_encoder.encode(value))
--- a/valverouter/ledger/store.py
+++ b/valverouter/ledger/store.py
@@ -13,9 +13,6 @@
 
 from __future__ import annotations
 
-import fcntl
-import os
-import zlib
 from collections.abc import Iterator, Mapping
 from contextlib import closing
 from pathlib import Path
@@ -25,9 +22,12 @@
 import lmdb
 import msgspec
 
+from valverouter.ledger.file import LedgerBusyError, LedgerError, body_of, cover, owned, summed, used
 from valverouter.recovery.course import Record
 from valverouter.recovery.learnt import Learnt
 
+__all__ = ["Damaged", "Ledger", "LedgerBusyError", "LedgerError", "LedgerFullError"]
+
 FORMAT = 1
 MIB = 1024 * 1024
 DEFAULT_MOST = 64 * MIB
@@ -42,14 +42,6 @@
 _learnt = msgspec.msgpack.Decoder(Learnt)
 
 
-class LedgerError(Exception):
-    """The store can't be used as it is; the text says why and what to do."""
-
-
-class LedgerBusyError(LedgerError):
-    """Another process holds it."""
-
-
 class LedgerFullError(LedgerError):
     """The commit did not fit, or the disk refused it: nothing of it is kept."""
 
@@ -66,19 +58,13 @@
     """An open store. Records leave by `drop`; nothing else grows."""
 
     def __init__(self, path: Path, most: int = DEFAULT_MOST, sync: str = "none") -> None:
-        path.mkdir(parents=True, exist_ok=True)
         self.path = path
-        self._lock = (path / "owner").open("wb")
-        try:
-            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            self._lock.close()
-            raise LedgerBusyError(f"{path} is held by another process") from None
+        self._lock = owned(path)
         try:
             self._env = lmdb.open(
                 str(path), map_size=SPARE * most, max_dbs=3, sync=sync == "each", metasync=sync == "each"
             )
-            self._cover()
+            cover(path, self._env)
             self._meta, self._dialogs, self._servers = (
                 self._env.open_db(name) for name in (b"meta", b"dialogs", b"servers")
             )
@@ -108,13 +94,6 @@
         self._env.close()
         self._lock.close()
 
-    def _cover(self) -> None:
-        # A file that was cut off is mapped past its end, and reading there ends the process by a signal, at
-        # every start anew. Covered with noughts, its missing pages read as damaged.
-        file = self.path / "data.mdb"
-        if file.stat().st_size < (needs := self.used()):
-            os.truncate(file, needs)
-
     def check(self) -> None:
         """Walks every page once; LedgerError where the store's own are damaged, not an entry alone. What the
         entries say is for whoever reads them."""
@@ -241,8 +220,7 @@
 
     def used(self) -> int:
         """Bytes of pages in use; those of entries that went are used again."""
-        info, stat = self._env.info(), self._env.stat()
-        return int((info["last_pgno"] + 1) * stat["psize"])
+        return used(self._env)
 
 
 def _key(name: str) -> bytes:
@@ -251,14 +229,13 @@
 
 
 def _sealed(value: Record | Learnt) -> bytes:
-    body = _encoder.encode(value)
-    return zlib.crc32(body).to_bytes(4, "big") + body
+    return summed(_encoder.encode(value))
 
 
 def _opened(key: bytes, value: bytes, table: str, decoder: Any) -> Any:
     name = key.decode("utf-8", "surrogateescape")
-    body = value[4:]
-    if len(value) < 5 or zlib.crc32(body) != int.from_bytes(value[:4], "big"):
+    body = body_of(value)
+    if body is None:
         return Damaged(table, name, "its checksum does not fit")
     try:
         return decoder.decode(body)
--- a/valverouter/membership/core.py
+++ b/valverouter/membership/core.py
@@ -16,7 +16,7 @@
 from valverouter.membership.exchanging import Seldom, differing, pages, wanted
 from valverouter.membership.messages import Ack, Ask, Gossip, Message, Nack, Pages, Ping, Sync
 from valverouter.membership.probing import Probe, Probes
-from valverouter.membership.records import Phase, Record, State, above, said, unaware
+from valverouter.membership.records import Phase, Record, State, above, facts, said, unaware
 from valverouter.membership.records import told as told_of
 from valverouter.membership.rules import Rules
 from valverouter.membership.suspicion import Suspicions
@@ -103,7 +103,7 @@
         now, rules = self._now, self.rules
         patience = self._probes.patience
         span = rules.period * patience
-        probe = Probe(held.name, held.life, held.seq, held.address, now, now + span, last_word=last_word)
+        probe = Probe(held.name, held.life, held.seq, held.address, now + span, last_word=last_word)
         nonce = self._probes.begin(probe)
         # It is told what is said of it: the one who can refute it must hear of it.
         accused = held if held.state != State.ALIVE else None
@@ -209,17 +209,10 @@
         if record.name == self.mine.name:
             self._of_us(record)
             return
-        if record.state == State.SUSPECT:
-            held = self.view.records.get(record.name)
-            if held is not None and held.life == record.life and held.seq == record.seq:
-                if held.lives and record.by != self.mine.name:
-                    first = held.state == State.ALIVE
-                    self._accuse(held, record.by)
-                    if first and self._draw() * self.view.living < self.rules.witnesses:
-                        self._ask_after(self.view.records[record.name])
-                return
         held = self.view.records.get(record.name)
-        if self.view.is_later(record):
+        if held is not None and record.state == State.SUSPECT and _is_of(record, held):
+            self._doubts(held, record.by)
+        elif self.view.is_later(record):
             self._take_in(record, record.by)
         elif (
             held is not None
@@ -231,6 +224,14 @@
             # its address now has nothing to learn from it.
             self._send(record.address, Gossip(*self._head(), (held,)))
 
+    def _doubts(self, held: Record, by: str) -> None:
+        """One whom we hold as it is told is accused; some of those who hear it first look for themselves."""
+        if not held.lives or by == self.mine.name:
+            return
+        self._accuse(held, by)
+        if held.state == State.ALIVE and self._draw() * self.view.living < self.rules.witnesses:
+            self._ask_after(self.view.records[held.name])
+
     def _take_in(self, record: Record, by: str) -> None:
         """A later record of another: kept, told, passed on."""
         name, now = record.name, self._now
@@ -240,9 +241,10 @@
         self._spread(record)
         if record.state == State.SUSPECT:
             # Later than what we held, and in doubt already: its time runs from here.
-            self.view.put(told_of(record, State.ALIVE, ""), now)
-            self._announce(held, told_of(record, State.ALIVE, ""), by)
-            self._accuse(self.view.records[name], by)
+            alive = told_of(record, State.ALIVE, "")
+            self.view.put(alive, now)
+            self._announce(held, alive, by)
+            self._accuse(alive, by)
             return
         self._announce(held, record, by)
         if not record.lives:
@@ -260,7 +262,7 @@
         elif held.life != record.life:
             what = "restarted"
         elif held.state == State.ALIVE:
-            what = "changed" if _facts(held) != _facts(record) else ""
+            what = "changed" if facts(held) != facts(record) else ""
         else:
             what = "refuted"
         if what:
@@ -294,7 +296,7 @@
     # Our own name, and others' former selves
 
     def _ask_namesake(self, address: str, life: int) -> None:
-        probe = Probe(self.mine.name, life, 0, address, self._now, self._now + self.rules.period)
+        probe = Probe(self.mine.name, life, 0, address, self._now + self.rules.period)
         nonce = self._probes.begin(probe)
         self._send(address, Ping(*self._head(), nonce, life, (self.mine,)))
         self._at(probe.until, self._drop_probe, nonce)
@@ -373,9 +375,7 @@
 
     def _asked(self, address: str, ask: Ask) -> None:
         now, rules = self._now, self.rules
-        probe = Probe(
-            ask.of, ask.of_life, 0, ask.address, now, now + rules.period, for_whom=(address, ask.nonce)
-        )
+        probe = Probe(ask.of, ask.of_life, 0, ask.address, now + rules.period, for_whom=(address, ask.nonce))
         nonce = self._probes.begin(probe)
         doubt = tuple(record for record in ask.news if record.name == ask.of)
         held = self.view.records.get(ask.of)
@@ -453,6 +453,6 @@
             wants = ()
 
 
-def _facts(record: Record) -> tuple[object, ...]:
-    place = record.address, record.region, record.place
-    return place, record.version, record.terms, record.phase, record.twin
+def _is_of(record: Record, held: Record) -> bool:
+    """Whether both tell of one word that the member said of itself."""
+    return (record.life, record.seq) == (held.life, held.seq)
--- a/valverouter/membership/exchanging.py
+++ b/valverouter/membership/exchanging.py
@@ -13,9 +13,7 @@
 
 
 def differing(mine: list[int], theirs: tuple[int, ...]) -> list[int]:
-    """Buckets with different sums; none where theirs are not sums of buckets like ours."""
-    if len(theirs) != BUCKETS:
-        return []
+    """Buckets with different sums; both have a sum for each."""
     return [at for at in range(BUCKETS) if mine[at] != theirs[at]]
 
 
--- a/valverouter/membership/probing.py
+++ b/valverouter/membership/probing.py
@@ -22,7 +22,6 @@
     life: int
     seq: int
     address: str
-    began: int
     until: int
     nacked: bool = False
     last_word: bool = False
--- a/valverouter/membership/records.py
+++ b/valverouter/membership/records.py
@@ -75,6 +75,12 @@
         return FIXED + 9 * len(self.over) + sum(len(text.encode()) for text in texts)
 
 
+def facts(record: Record) -> tuple[object, ...]:
+    """What a process tells of itself beside who it is."""
+    place = record.region, record.place, record.address
+    return *place, record.version, record.terms, int(record.phase), record.twin
+
+
 def supersedes(news: Record, held: Record) -> bool:
     """Whether `news` is the later word."""
     if news.life == held.life:
--- a/valverouter/membership/spreading.py
+++ b/valverouter/membership/spreading.py
@@ -13,7 +13,6 @@
         self._room = room
         # Name: the word, how often it has left here, its size.
         self._items: dict[str, tuple[Record, int, int]] = {}
-        self.fresh = 0
 
     def __len__(self) -> int:
         return len(self._items)
@@ -22,7 +21,6 @@
         # At the end: the order of the table is then freshest last, and what was sent goes to its front.
         self._items.pop(record.name, None)
         self._items[record.name] = record, 0, record.size
-        self.fresh += 1
 
     def take(self, sends: int, first: Record | None = None) -> tuple[Record, ...]:
         """What goes into one message, counted as passed on; `first` goes in any case."""
--- a/valverouter/membership/suspicion.py
+++ b/valverouter/membership/suspicion.py
@@ -31,9 +31,6 @@
         self._rules = rules
         self._open: dict[str, Suspicion] = {}
 
-    def __contains__(self, name: str) -> bool:
-        return name in self._open
-
     def over(self, name: str) -> None:
         """It spoke, or is known to be gone."""
         self._open.pop(name, None)
--- a/valverouter/membership/view.py
+++ b/valverouter/membership/view.py
@@ -12,7 +12,7 @@
 from collections import deque
 from hashlib import blake2b
 
-from valverouter.membership.records import Record, State, supersedes
+from valverouter.membership.records import Record, State, facts, supersedes
 
 BUCKETS = 64
 MASK = 2**64 - 1
@@ -24,18 +24,7 @@
 
 def digest_of(record: Record) -> int:
     """64 bits over what the digest of a view holds of a member."""
-    parts = (
-        record.name,
-        record.region,
-        record.place,
-        record.address,
-        record.number,
-        record.life,
-        record.version,
-        record.terms,
-        int(record.phase),
-        int(record.twin),
-    )
+    parts = record.name, *_tells(record)
     return int.from_bytes(blake2b(repr(parts).encode(), digest_size=8).digest(), "big")
 
 
@@ -127,14 +116,4 @@
 
 
 def _tells(record: Record) -> tuple[object, ...]:
-    return (
-        record.life,
-        record.number,
-        record.address,
-        record.region,
-        record.place,
-        record.version,
-        record.terms,
-        record.phase,
-        record.twin,
-    )
+    return record.life, record.number, *facts(record)
--- a/valverouter/servermodel/paths.py
+++ b/valverouter/servermodel/paths.py
@@ -61,13 +61,11 @@
         delay: Callable[[str, str], int] = lambda sender, receiver: 0,
         loss: float = 0.0,
     ) -> None:
-        self.faults = sorted(faults, key=lambda fault: fault.start)
-        self.lost = 0
         self._draw = draw
         self._delay = delay
         self._loss = loss
         self._active: list[PathFault] = []
-        self._coming = list(reversed(self.faults))
+        self._coming = sorted(faults, key=lambda fault: fault.start)[::-1]
         self._ends = 0
 
     def arrivals(self, sender: str, receiver: str, now: int) -> tuple[int, ...]:
@@ -75,7 +73,6 @@
         self._turn_to(now)
         draw = self._draw
         if self._loss and draw() < self._loss:
-            self.lost += 1
             return ()
         delay = self._delay(sender, receiver)
         if not self._active:
@@ -85,7 +82,6 @@
             if not fault.strikes(sender, receiver):
                 continue
             if fault.kind in ("cut", "split") or (fault.kind == "loss" and draw() < fault.share):
-                self.lost += 1
                 return ()
             if fault.kind == "late":
                 delay += int(fault.span * (1 + fault.jitter * (2 * draw() - 1)))
--- a/valverouter/standins/paths.py
+++ b/valverouter/standins/paths.py
@@ -32,7 +32,6 @@
 
     def __init__(self, bind: Callable[[str], Socket], now: Callable[[], int], paths: Paths) -> None:
         self.paths = paths
-        self.carried = 0
         self._bind = bind
         self._now = now
         self._nursery: trio.Nursery | None = None
@@ -60,9 +59,6 @@
         self._real[name] = address
         self._at[address] = name
 
-    def real(self, name: str) -> str:
-        return self._real.get(name, "")
-
     async def _serve(self, name: str, front: Socket) -> None:
         assert self._nursery is not None
         try:
@@ -87,5 +83,4 @@
 
     def _deliver(self, sender: str, receiver: str, data: bytes) -> None:
         if (there := self._real.get(receiver)) is not None:
-            self.carried += 1
             self._fronts[sender].send(data, there)
--- a/valverouter/terms/between.py
+++ b/valverouter/terms/between.py
@@ -8,7 +8,7 @@
 
 from msgspec import Meta, Struct
 
-from valverouter.terms.ini import IniFile, Named, Words
+from valverouter.terms.ini import IniFile, Named, Words, is_address
 
 MS, SECOND = 10**6, 10**9
 # Of a key file: fewer bytes can be guessed; more are not a key but a slip.
@@ -74,9 +74,8 @@
     try:
         there = ipaddress.ip_address(host.strip("[]"))
     except ValueError:
-        ini.flaw("between", key, f"{text!r} is no IP:PORT")
-        return
-    if not (port.isascii() and port.isdigit() and int(port) < 65_536):
+        there = None
+    if there is None or not is_address(text):
         ini.flaw("between", key, f"{text!r} is no IP:PORT")
     elif told_port and (int(port) == 0 or there.is_unspecified):
         ini.flaw("between", key, f"{text!r} is nothing that others can send to")
--- a/valverouter/terms/day.py
+++ b/valverouter/terms/day.py
@@ -239,16 +239,18 @@
         ini = self.edge_ini(place, listen, list_service, cache, accounts)
         return edge_terms(IniFile(ini, f"edge e{place}"))
 
-    def edges_of(self, words: Words) -> frozenset[str]:
-        """Edge proxies by their names and regions; with + several in one word."""
-        names = set()
+    @property
+    def edge_regions(self) -> dict[str, str]:
+        """Each edge proxy's region, by its name."""
+        return {f"e{place}": self.region_of_edge(place) for place in range(self.fleet.edge_proxies)}
+
+    def edges_of(self, words: Words, regions: Mapping[str, str] | None = None) -> frozenset[str]:
+        """Edge proxies by their names and regions; with + several in one word. `regions`: of another fleet
+        than the day's own, by name."""
+        regions = self.edge_regions if regions is None else regions
+        names: set[str] = set()
         for word in (part.strip() for one in words for part in one.split("+")):
-            of_region = [
-                f"e{place}"
-                for place in range(self.fleet.edge_proxies)
-                if word in self.regions and self.region_of_edge(place) == word
-            ]
-            names |= set(of_region or [word])
+            names |= {name for name, region in regions.items() if region == word} or {word}
         return frozenset(names)
 
     @property
--- a/valverouter/terms/edge.py
+++ b/valverouter/terms/edge.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from hashlib import blake2b
 from pathlib import Path
 from typing import Annotated
@@ -24,6 +23,7 @@
     Rate,
     Span,
     Whole,
+    is_address,
 )
 
 MS, SECOND = 10**6, 10**9
@@ -256,9 +256,3 @@
             return await trio.to_thread.run_sync(edge_terms, now)
     now.flaw("", "", f"still being written after {tries} readings", 0)
     raise FlawedTermsError(now.flaws)
-
-
-def is_address(text: str) -> bool:
-    host, colon, port = text.rpartition(":")
-    sound = bool(host and colon) and not re.search(r"\s", host) and port.isascii() and port.isdigit()
-    return sound and int(port) < 65_536
--- a/valverouter/terms/ini.py
+++ b/valverouter/terms/ini.py
@@ -180,6 +180,12 @@
             raise FlawedTermsError(sorted(self.flaws, key=lambda flaw: flaw.line))
 
 
+def is_address(text: str) -> bool:
+    host, colon, port = text.rpartition(":")
+    sound = bool(host and colon) and not re.search(r"\s", host) and port.isascii() and port.isdigit()
+    return sound and int(port) < 65_536
+
+
 def _value(text: str, kind: Any) -> Any:
     # `X | None` holds its annotation in the first of its arguments: a key left out is None, one given is X.
     given = typing.get_args(kind)[0] if type(None) in typing.get_args(kind) else kind
--- a/valverouter/terms/platform.py
+++ b/valverouter/terms/platform.py
@@ -8,7 +8,8 @@
 import msgspec
 from msgspec import Struct
 
-from valverouter.terms.edge import EdgeTerms, Links, Log, is_address
+from valverouter.terms.edge import EdgeTerms, Links, Log
+from valverouter.terms.ini import is_address
 from valverouter.terms.options import US, MalformedInputError, Options, deployment
 
 MS, SECOND = 10**6, 10**9
