The view keeps its list of the living and what the digests said, instead of going through all each time

Measured in a profile of 220 simulated members for 60 s: 2.7 of 17.4 s went into listing the living for each word passed on, 2.1 s into reading the same twenty digests at each tick. Both are kept until something changes.

--- a/valverouter/membership/trust.py
+++ b/valverouter/membership/trust.py
@@ -32,9 +32,12 @@
     def __init__(self, rules: Rules) -> None:
         self._heard: deque[tuple[int, str, int]] = deque(maxlen=4 * AGREEING)
         self._fresh = 5 * rules.period
+        # What was made of them last, for which digest and how many others, and until when it holds.
+        self._last: tuple[int, int, int, Trust] | None = None
 
     def heard(self, now: int, name: str, digest: int) -> None:
         self._heard.append((now, name, digest))
+        self._last = None
 
     def trust(self, now: int, view: View, unheard: int, expects: bool) -> Trust:
         """`expects`: the terms name seeds, so that being alone is no fleet of one."""
@@ -45,13 +48,24 @@
             return Trust.UNSETTLED if expects else Trust.SETTLED
         if view.suspects:
             return Trust.UNSETTLED
-        digest, agreeing = view.digest, set()
+        last = self._last
+        if last is not None and now <= last[0] and last[1:3] == (view.digest, others):
+            return last[3]
+        until, trust = self._agree(now, view.digest, min(AGREEING, others))
+        self._last = until, view.digest, others, trust
+        return trust
+
+    def _agree(self, now: int, digest: int, needed: int) -> tuple[int, Trust]:
+        """What the digests say, and until when they do if none is heard."""
+        agreeing: set[str] = set()
+        until = now
         for at, name, heard in reversed(self._heard):
             if now - at > self._fresh:
                 break
+            until = at + self._fresh
             if name in agreeing:
                 continue  # its later word counts
             if heard != digest:
-                return Trust.UNSETTLED
+                return until, Trust.UNSETTLED
             agreeing.add(name)
-        return Trust.SETTLED if len(agreeing) >= min(AGREEING, others) else Trust.UNSETTLED
+        return until, Trust.SETTLED if len(agreeing) >= needed else Trust.UNSETTLED
--- a/valverouter/membership/view.py
+++ b/valverouter/membership/view.py
@@ -42,6 +42,7 @@
         self.digest = 0
         self.old: deque[str] = deque(maxlen=old_addresses)
         self._digests: dict[str, int] = {}
+        self._names: list[str] | None = None
 
     def copy(self) -> View:
         """The same table, for another instance."""
@@ -53,6 +54,17 @@
         other._digests = self._digests.copy()
         return other
 
+    def names(self, but: str) -> list[str]:
+        """Who is believed to be there, but one; a list of the caller's own. Kept from call to call: every word
+        that is passed on draws from it, and going through a whole fleet for each was the view's largest cost.
+        """
+        if self._names is None:
+            self._names = [name for name, one in self.records.items() if one.state <= State.SUSPECT]
+        names = self._names.copy()
+        if self.lives(but):
+            names.remove(but)
+        return names
+
     def lives(self, name: str) -> bool:
         held = self.records.get(name)
         return held is not None and held.state <= State.SUSPECT
@@ -75,6 +87,7 @@
         self._count(news, 1)
         if held is None or held.state != news.state or held.life != news.life:
             self.since[name] = now
+            self._names = None
         before, after = self._digests.pop(name, 0), 0
         if news.state <= State.SUSPECT:
             # Most changes are suspicions and their ends, and leave what is told of a member as it was.
@@ -99,6 +112,7 @@
     def forget(self, name: str) -> None:
         """One who was gone for long enough, or has left."""
         held = self.records.pop(name)
+        self._names = None
         self._count(held, -1)
         self._change(name, self._digests.pop(name, 0), 0)
         self.since.pop(name, None)
--- a/valverouter/membership/voice.py
+++ b/valverouter/membership/voice.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from valverouter.membership.messages import Gossip, Message
-from valverouter.membership.records import Record, State
+from valverouter.membership.records import Record
 from valverouter.membership.rules import Rules
 from valverouter.membership.spreading import News
 from valverouter.membership.view import View
@@ -87,12 +87,13 @@
             self._send(self.view.records[name].address, Gossip(*self._head(), self._take()))
 
     def _living(self) -> list[str]:
-        mine = self.mine.name
-        return [n for n, one in self.view.records.items() if one.state <= State.SUSPECT and n != mine]
+        return self.view.names(self.mine.name)
 
     def _some(self, count: int, but: str = "") -> list[str]:
         """Other living members, drawn."""
-        names = [name for name in self._living() if name != but]
+        names = self._living()
+        if but in names:
+            names.remove(but)
         for at in range(min(count, len(names))):
             other = at + int(self._draw() * (len(names) - at))
             names[at], names[other] = names[other], names[at]
