--- a/valverouter/membership/view.py
+++ b/valverouter/membership/view.py
@@ -56,8 +56,7 @@
 
     def names(self, but: str) -> list[str]:
         """Who is believed to be there, but one; a list of the caller's own. Kept from call to call: every
-        word that is passed on draws from it, and going through a whole fleet for each was the view's largest cost.
-        """
+        word that is passed on draws from it, and going through a whole fleet for each cost the most."""
         if self._names is None:
             self._names = [name for name, one in self.records.items() if one.state <= State.SUSPECT]
         names = self._names.copy()
