--- a/valverouter/cli/edging.py
+++ b/valverouter/cli/edging.py
@@ -20,7 +20,7 @@
 from valverouter.edge.keeping import edge_proxy
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import Sockets, long_lived
-from valverouter.fleet.datagrams import FleetTask, facts_of
+from valverouter.fleet.datagrams import FleetTask, counts_of, facts_of
 from valverouter.ledger.store import Ledger, LedgerBusyError, LedgerError
 from valverouter.terms.edge import EdgeTerms, load_edge_terms, load_settled
 from valverouter.terms.ini import FlawedTermsError
@@ -60,6 +60,7 @@
                     secrets.randbits(64),
                     lambda: facts_of(proxy),
                     version("valverouter"),
+                    tell_counts=lambda: counts_of(proxy),
                 )
                 await nursery.start(fleet.run)
             long_lived()
--- a/valverouter/edge/books.py
+++ b/valverouter/edge/books.py
@@ -55,6 +55,8 @@
 
     answers: Counter[str] = field(default_factory=Counter)
     legs: Counter[str] = field(default_factory=Counter)
+    # Stood, after the objective of their type.
+    late: int = 0
     failures: int = 0
     withheld: int = 0
     stalls: int = 0
--- a/valverouter/edge/links.py
+++ b/valverouter/edge/links.py
@@ -131,6 +131,11 @@
         """Whether the server there can be asked for legs of a former connection."""
         return self._session is not None and self._session.version >= 2
 
+    @property
+    def is_up(self) -> bool:
+        """Whether the instance has heard its welcome, and the connection stands."""
+        return self._heard and self.takes
+
     @property
     def takes(self) -> bool:
         """Whether a frame put now may still leave on a connection that is up or being made."""
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -147,6 +147,11 @@
     def standing(self) -> int:
         return sum(taken.stands for taken in self._dialogs.values())
 
+    @property
+    def ready(self) -> bool:
+        """Whether it has the list, and a server that it may send to."""
+        return any(link.wanted and link.is_up for link in self._links.values())
+
     async def run(self, task_status: trio.TaskStatus[EdgeProxy] = trio.TASK_STATUS_IGNORED) -> None:
         """Serves until stopped or cancelled. `started` once it listens; OSError when it can't."""
         async with trio.open_nursery() as nursery:
@@ -492,6 +497,7 @@
         else:
             taken.caller.send(message)
         self.tally.answers[word] += 1
+        self.tally.late += isinstance(message, setup.Stands) and self._is_late(taken.setup, taken.deadline)
         self._log.debug(
             "answered", dialog=message.dialog, answer=word, legs=taken.legs, generation=taken.generation
         )
@@ -503,6 +509,10 @@
             self._release(taken)
         self._forget(taken)
 
+    def _is_late(self, asked: setup.Setup, deadline: int) -> bool:
+        kind = self.terms.deployment.traffic_types.get(asked.traffic_type)
+        return kind is not None and self._now - (deadline - asked.no_answer) > kind.objective
+
     def _over(self, taken: Taken, reason: str) -> None:
         """A dialog that stood has ended."""
         taken.caller.send(setup.Ended(taken.setup.dialog, taken.setup.leg, reason))
--- a/valverouter/fleet/asking.py
+++ b/valverouter/fleet/asking.py
@@ -14,6 +14,7 @@
 from valverouter.membership.core import Membership
 from valverouter.membership.messages import Said
 from valverouter.membership.records import LIVING, State
+from valverouter.rollout.keeping import Counts
 
 # Rows in one answer: each a name, a region, an address and numbers, all bounded by the terms.
 ROWS_ROOM = 1_000
@@ -26,6 +27,17 @@
     page: int = 0
 
 
+class Count(Said, frozen=True, array_like=True, tag="c"):
+    """What have you done since your start? Asked by an instance's keeper."""
+
+    nonce: int = 0
+
+
+class Counted(Said, frozen=True, array_like=True, tag="C"):
+    nonce: int = 0
+    counts: Counts = Counts()
+
+
 class Row(Struct, frozen=True, array_like=True):
     """A member as an instance sees it. `since_ms`: how long it has been so."""
 
--- a/valverouter/fleet/datagrams.py
+++ b/valverouter/fleet/datagrams.py
@@ -12,18 +12,20 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 import structlog
 import trio
 
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import Datagrams, Surroundings
-from valverouter.fleet.asking import Query, Shown, pages_of, rows_of
+from valverouter.fleet.asking import Count, Counted, Query, Shown, pages_of, rows_of
 from valverouter.fleet.sealing import MOST, Opener, Seal, TooLongError
 from valverouter.membership.core import Membership
 from valverouter.membership.records import Phase, Record
 from valverouter.membership.rules import Rules
 from valverouter.membership.trust import Trust
 from valverouter.membership.voice import Told
+from valverouter.rollout.keeping import Counts
 from valverouter.terms.between import Between
 from valverouter.terms.edge import EdgeTerms
 
@@ -44,6 +46,21 @@
     return Phase.DRAINING if proxy.stopping else Phase.SERVING, proxy.terms.digest
 
 
+def counts_of(proxy: EdgeProxy) -> Counts:
+    """What an edge proxy tells its keeper."""
+    answers = proxy.tally.answers
+    declined = answers["declined"] + answers["declined-here"]
+    lost = answers["aborted"] + proxy.tally.withheld
+    return Counts(
+        serving=not proxy.stopping,
+        ready=proxy.ready,
+        taken=answers["stands"] + declined + lost,
+        declined=declined,
+        lost=lost,
+        late=proxy.tally.late,
+    )
+
+
 class FleetTask:
     """An instance's place in its fleet. `facts` tells its phase and its terms' digest, asked now and then.
 
@@ -59,6 +76,7 @@
         facts: Callable[[], tuple[Phase, str]],
         version: str = "",
         watch: Callable[[Told], None] = lambda told: None,
+        tell_counts: Callable[[], Counts] = Counts,
     ) -> None:
         self.counts: Counter[str] = Counter()
         self.core: Membership | None = None
@@ -69,6 +87,7 @@
         self._facts = facts
         self._version = version
         self._watch = watch
+        self._tell_counts = tell_counts
         self._seal = Seal(between.keys)
         self._opener = Opener(self._seal)
         self._log = log.bind(edge=terms.name)
@@ -149,7 +168,11 @@
             self._drops()
         elif isinstance(message, Query):
             self._show(socket, core, message, source)
-        elif not isinstance(message, Shown):
+        elif isinstance(message, Count):
+            told = msgspec.structs.replace(self._tell_counts(), life=self._life, trust=core.trust.value)
+            head = core.mine.name, core.mine.life, core.view.digest
+            self._put(socket, source, Counted(*head, message.nonce, told))
+        elif not isinstance(message, Shown | Counted):
             self.counts["heard"] += 1
             core.heard(self._now(), source, message)
 
--- a/valverouter/fleet/sealing.py
+++ b/valverouter/fleet/sealing.py
@@ -15,11 +15,13 @@
 import hmac
 from collections import Counter
 from hashlib import blake2b
+from typing import Any
 
 import msgspec
 from msgspec import Struct
 
-from valverouter.fleet.asking import Query, Shown
+from valverouter.fleet.asking import Count, Counted, Query, Shown
+from valverouter.fleet.parcels import Piece
 from valverouter.membership.messages import Ack, Ask, Gossip, Message, Nack, Pages, Ping, Sync
 from valverouter.membership.records import State
 
@@ -33,7 +35,7 @@
 # Words of versions that are not understood are told once each, and so many at most.
 VERSIONS_TOLD = 16
 
-Carried = Ping | Ack | Ask | Nack | Gossip | Sync | Pages | Query | Shown
+Carried = Ping | Ack | Ask | Nack | Gossip | Sync | Pages | Query | Shown | Count | Counted
 
 
 class Envelope(Struct, frozen=True, array_like=True):
@@ -41,6 +43,13 @@
     message: Carried
 
 
+class Posted(Struct, frozen=True, array_like=True):
+    """As an Envelope, between seats, keepers and tools."""
+
+    counter: int
+    message: Piece
+
+
 class TooLongError(ValueError):
     """A message that no datagram holds."""
 
@@ -54,10 +63,10 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._counter = 0
 
-    def seal(self, message: Carried) -> bytes:
+    def seal(self, message: Carried | Piece) -> bytes:
         """The datagram; TooLongError when it would be one of over MOST bytes."""
         self._counter += 1
-        body = self._encoder.encode(Envelope(self._counter, message))
+        body = self._encoder.encode((self._counter, message))
         if len(body) + HEAD > MOST:
             raise TooLongError(f"{len(body) + HEAD} bytes of {type(message).__name__}")
         head = bytes((VERSION,)) + self._mark
@@ -107,16 +116,16 @@
 class Opener:
     """Takes datagrams in; those that are dropped are counted by why, in fixed words."""
 
-    def __init__(self, seal: Seal) -> None:
+    def __init__(self, seal: Seal, kind: type[Envelope] | type[Posted] = Envelope) -> None:
         self.dropped: Counter[str] = Counter()
         # Versions that came under our key and are not ours, until the task has told of them.
         self.strange: list[int] = []
         self._told: set[int] = set()
         self._seal = seal
         self._window = Window()
-        self._decoder = msgspec.msgpack.Decoder(Envelope)
+        self._decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(kind)
 
-    def open(self, data: bytes) -> Carried | None:
+    def open(self, data: bytes) -> Any:
         """The message, or None where it is not one for us."""
         if len(data) > MOST:
             self.dropped["oversize"] += 1
@@ -145,7 +154,7 @@
         return message
 
 
-def _is_sound(message: Carried) -> bool:
+def _is_sound(message: Carried | Piece) -> bool:
     if len(message.name) > NAME_MOST:
         return False
     return all(
--- /dev/null
+++ b/valverouter/fleet/words.py
@@ -0,0 +1,70 @@
+"""What seats, keepers and tools say to each other, as MessagePack in parcels."""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct
+
+from valverouter.rollout.keeping import Report
+from valverouter.rollout.orders import Command, Want
+from valverouter.rollout.written import Sent
+
+
+class Votes(Struct, frozen=True, array_like=True, tag="v"):
+    """A council's message to seat `to`."""
+
+    to: str
+    message: Sent
+
+
+class Here(Struct, frozen=True, array_like=True, tag="h"):
+    """A seat with its disk; `member`: as far as it knows itself."""
+
+    name: str
+    disk: int
+    member: bool
+
+
+class Reported(Struct, frozen=True, array_like=True, tag="r"):
+    """A keeper's report. `to`: the life of the seat whose `stamp` is given back; both 0: none yet."""
+
+    report: Report
+    to: int = 0
+    stamp: int = 0
+
+
+class Worded(Struct, frozen=True, array_like=True, tag="w"):
+    """To a keeper; `life`: of the seat that says it."""
+
+    name: str
+    life: int
+    stamp: int
+    want: Want
+    is_open: bool
+
+
+class Asks(Struct, frozen=True, array_like=True, tag="q"):
+    """A tool's. `what`: plan, do, show. `command`: an order, a stop; None where it only looks."""
+
+    nonce: int
+    what: str
+    command: Command | None = None
+    # Of the answer's part that the tool is given, where it looks.
+    about: str = ""
+
+
+class Tells(Struct, frozen=True, array_like=True, tag="t"):
+    """To a tool. `leads`: whether the seat that answers does, else whom it takes for the leader; only a
+    leader's `body` holds."""
+
+    nonce: int
+    seat: str
+    leads: bool
+    leader: str = ""
+    body: msgspec.Raw = msgspec.Raw(b"\xc0")
+
+
+Word = Votes | Here | Reported | Worded | Asks | Tells
+
+encoder = msgspec.msgpack.Encoder()
+decoder: msgspec.msgpack.Decoder[Word] = msgspec.msgpack.Decoder(Word)
--- a/valverouter/ledger/councilstore.py
+++ b/valverouter/ledger/councilstore.py
@@ -16,37 +16,16 @@
 import msgspec
 
 from valverouter.ledger.file import LedgerError, body_of, cover, owned, summed
-from valverouter.rollout.council import (
-    Durable,
-    Entry,
-    Members,
-    Save,
-    SaveEntries,
-    SaveSnapshot,
-    SaveTerm,
-    Snapshot,
-)
-from valverouter.rollout.permits import Ask, Away, Back, Enrol, Halt, Register
+from valverouter.rollout.council import Durable, Save, SaveEntries, SaveSnapshot, SaveTerm
+from valverouter.rollout.written import KeptEntry, KeptSnapshot, kept_entry, kept_snapshot
 
 FORMAT = b"council 1"
 MOST = 64 * 1024 * 1024
 
 
-class _Entry(msgspec.Struct, array_like=True):
-    term: int
-    what: Ask | Away | Back | Enrol | Halt | Members | None
-
-
-class _Snapshot(msgspec.Struct, array_like=True):
-    index: int
-    term: int
-    members: Members
-    state: Register
-
-
 _encoder = msgspec.msgpack.Encoder()
-_entries = msgspec.msgpack.Decoder(_Entry)
-_snapshots = msgspec.msgpack.Decoder(_Snapshot)
+_entries = msgspec.msgpack.Decoder(KeptEntry)
+_snapshots = msgspec.msgpack.Decoder(KeptSnapshot)
 
 
 class CouncilStore:
@@ -91,15 +70,13 @@
                     term, voted = msgspec.msgpack.decode(self._read(vote, "vote"), type=tuple[int, str])
                     durable.term, durable.voted = term, voted
                 if (kept := read.get(b"snapshot", db=self._meta)) is not None:
-                    one = _snapshots.decode(self._read(kept, "snapshot"))
-                    durable.snapshot = Snapshot(one.index, one.term, one.members, one.state)
+                    durable.snapshot = _snapshots.decode(self._read(kept, "snapshot")).snapshot()
                 expected = durable.first
                 for key, value in read.cursor(db=self._record):
                     index = int.from_bytes(key, "big")
                     if index != expected:
                         raise LedgerError(f"{self.path}: entry {expected} is missing")
-                    entry = _entries.decode(self._read(value, f"entry {index}"))
-                    durable.entries.append(Entry(entry.term, entry.what))
+                    durable.entries.append(_entries.decode(self._read(value, f"entry {index}")).entry())
                     expected += 1
                 return durable
         except (lmdb.Error, msgspec.MsgspecError) as error:
@@ -127,12 +104,11 @@
             case SaveEntries(first, entries):
                 self._cut(commit, first, None)
                 for index, entry in enumerate(entries, first):
-                    commit.put(_key(index), _kept(_Entry(entry.term, entry.what)), db=self._record)
+                    commit.put(_key(index), _kept(kept_entry(entry)), db=self._record)
             case SaveSnapshot(snapshot):
-                kept = _Snapshot(snapshot.index, snapshot.term, snapshot.members, snapshot.state)
                 at = commit.get(_key(snapshot.index), db=self._record)
                 same = at is not None and _entries.decode(bytes(at)[4:]).term == snapshot.term
-                commit.put(b"snapshot", _kept(kept), db=self._meta)
+                commit.put(b"snapshot", _kept(kept_snapshot(snapshot)), db=self._meta)
                 self._cut(commit, 0, snapshot.index if same else None)
 
     def _cut(self, commit: Any, first: int, last: int | None) -> None:
--- /dev/null
+++ b/valverouter/rollout/conducting.py
@@ -0,0 +1,328 @@
+"""What the council's leader does next: who asks for leave, who is told away or in, whether a release goes on.
+
+Pure: fed with reports and the agreed book, it gives commands to be agreed on. What it holds itself is soft: a
+leader that comes after it hears the same reports and begins its evidence anew, which costs time and never
+lets anything through. Nothing here gives leave: the book does, by its own rules, when a command is agreed on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from valverouter.rollout.evidence import Evidence, Tally, Verdict
+from valverouter.rollout.evidence import Rule as EvidenceRule
+from valverouter.rollout.keeping import Counts, Report
+from valverouter.rollout.limits import Limits, Sort, Unit
+from valverouter.rollout.orders import (
+    Book,
+    Command,
+    Kind,
+    Next,
+    Order,
+    Phase,
+    Runs,
+    Step,
+    Stop,
+    Want,
+    Went,
+    released,
+)
+from valverouter.rollout.permits import Ask, Away, Back, Enrol
+from valverouter.rollout.serving import Watch
+
+SECOND = 10**9
+MEASURES = ("declined", "lost", "late")
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """Spans in ns. `silent`: without a report for so long an instance is away. `not_reached`: an order goes
+    on without one that was silent so long before it went out. `ask_again`: after a refusal. `unsettled`: so
+    long may a view be unsettled, in a wave, until the order is halted. `span`: of evidence. `ends`: ends of
+    released programs that nobody asked for, at which a release is halted, if the others have fewer."""
+
+    limits: Mapping[Sort, Limits]
+    silent: int = 4 * SECOND
+    not_reached: int = 15 * SECOND
+    ask_again: int = SECOND
+    unsettled: int = 30 * SECOND
+    span: int = SECOND
+    watch_least: int = 5 * SECOND
+    ends: int = 2
+    evidence: EvidenceRule = field(default_factory=EvidenceRule)
+
+
+@dataclass(slots=True)
+class Looked:
+    """The evidence of a stage: from one watch to the end of the next, while waves go too."""
+
+    order: str
+    stage: int
+    began: int
+    evidence: Evidence
+    counts: dict[str, Counts]
+    ends: dict[str, int]
+    at: int
+
+
+class Conductor:
+    """One leader's time in office."""
+
+    def __init__(self, rules: Rules, draw: Callable[[], float], now: int) -> None:
+        self.rules = rules
+        self.watch = Watch(now)
+        self._draw = draw
+        self._asked: dict[str, int] = {}
+        self._unsettled_since: int | None = None
+        self._looked: Looked | None = None
+
+    def heard(self, now: int, report: Report, since: int) -> None:
+        """`since`: a moment after which it was made for certain."""
+        self.watch.heard(now, report, since)
+
+    def step(self, now: int, book: Book) -> list[Command]:
+        """Commands to be agreed on; the next step is taken when they are."""
+        commands = self._enrols(book)
+        if commands:
+            return commands
+        commands = [*self._presence(now, book)]
+        order = book.going
+        if order is not None:
+            stop = self._must_stop(now, book, order)
+            commands += [stop] if stop else self._conduct(now, book, order)
+        return commands
+
+    @property
+    def pairs(self) -> tuple[int, int]:
+        """Of the evidence under way: pairs looked at, and wanted at least."""
+        if self._looked is None:
+            return 0, 0
+        seen = min(one.pairs for one in self._looked.evidence.comparisons.values())
+        return seen, self.rules.evidence.least
+
+    # Who there is
+
+    def _enrols(self, book: Book) -> list[Command]:
+        commands: list[Command] = []
+        limits = tuple((sort, one) for sort, one in self.rules.limits.items())
+        if any(book.register.limits.get(sort) != one for sort, one in limits):
+            commands.append(Enrol((), limits))
+        for name, seen in self.watch.seen.items():
+            facts, held = seen.report.facts, book.register.units.get(name)
+            unit = Unit(name, facts.sort, facts.region, facts.capacity, facts.processor)
+            if unit != held:
+                commands.append(Enrol((unit,)))
+            if name not in book.wants or book.versions.get(name) != facts.versions:
+                commands.append(Runs(name, seen.report.version, facts.versions))
+        return commands
+
+    def _presence(self, now: int, book: Book) -> list[Command]:
+        """Out without leave by what is not heard or is told down; in by evidence alone."""
+        commands: list[Command] = []
+        out = book.register.out
+        for name in book.register.units:
+            seen, want = self.watch.seen.get(name), book.wants.get(name)
+            if name in out:
+                held = out[name]
+                if want is not None and self.watch.is_in(name, want, now, out.__contains__):
+                    commands.append(Back(name, held.number if held else 0))
+                continue
+            away = self.watch.silent_for(name, now) > self.rules.silent
+            if seen is not None and self.watch.is_fresh(name, now):
+                away = away or not seen.report.runs or seen.report.leaving
+            if away:
+                commands.append(Away(name))
+        return commands
+
+    # Whether an order may go on
+
+    def _must_stop(self, now: int, book: Book, order: Order) -> Stop | None:
+        if order.phase is Phase.RETURNING:
+            return None
+        why = self._view(now, book)
+        failed = next((name for name, one in order.members.items() if one.step is Step.FAILED), None)
+        if not why and failed is not None and order.kind is not Kind.UNDRAIN:
+            why = f"{failed}: {order.members[failed].why or 'did not come up'}"
+        if not why and order.kind is Kind.RELEASE:
+            why = self._ends(book, order)
+        return Stop(order.id, why) if why else None
+
+    def _view(self, now: int, book: Book) -> str:
+        """A fleet that does not know itself takes nothing out. An instance that is out itself is no witness;
+        those that keep no view say nothing."""
+        said = [
+            seen.report.counts.trust
+            for name, seen in self.watch.seen.items()
+            if name not in book.register.out and self.watch.is_fresh(name, now) and seen.report.counts.trust
+        ]
+        if not said or all(trust == "settled" for trust in said):
+            self._unsettled_since = None
+            return ""
+        if 2 * said.count("cut off") > len(said):
+            return "more than half of the fleet is cut off"
+        if self._unsettled_since is None:
+            self._unsettled_since = now
+        if now - self._unsettled_since > self.rules.unsettled:
+            return f"the fleet's view has not settled for {self.rules.unsettled // SECOND} s"
+        return ""
+
+    def _ends(self, book: Book, order: Order) -> str:
+        """Programs of the release that end by themselves, against those of the others at the same time."""
+        ours = [name for name, one in order.members.items() if one.step in (Step.OUT, Step.DONE)]
+        counted = self._counted(book, order, ours)
+        if counted >= min(self.rules.ends, max(1, len(ours))):
+            others = [name for name in released(book, order)[1]]
+            theirs = self._counted(book, order, others, since=True)
+            if counted * max(1, len(others)) > 2 * theirs * len(ours):
+                return f"{counted} programs of {len(ours)} released ended by themselves"
+        return ""
+
+    def _counted(self, book: Book, order: Order, names: list[str], since: bool = False) -> int:
+        total = 0
+        for name in names:
+            seen = self.watch.seen.get(name)
+            if seen is None:
+                continue
+            member = order.members.get(name)
+            if since:
+                before = self._looked.ends.get(name, seen.report.ends) if self._looked else seen.report.ends
+                total += max(0, seen.report.ends - before)
+            elif member is not None and seen.report.turn == (member.number, 0):
+                total += seen.report.ends
+        return total
+
+    # An order's course
+
+    def _conduct(self, now: int, book: Book, order: Order) -> list[Command]:
+        match order.phase:
+            case Phase.GOING:
+                stop: list[Command] = [one for one in self._look(now, book, order) if isinstance(one, Stop)]
+                return stop or self._wave(now, book, order)
+            case Phase.WATCHING:
+                return self._look(now, book, order)
+            case Phase.RETURNING:
+                return self._returns(now, book, order)
+            case _:
+                return []
+
+    def _wave(self, now: int, book: Book, order: Order) -> list[Command]:
+        commands: list[Command] = []
+        settled = self._unsettled_since is None
+        for name in order.present:
+            member = order.members[name]
+            if member.step is Step.WAITING:
+                if self.watch.silent_for(name, now) > self.rules.not_reached:
+                    silent = self.watch.silent_for(name, now) // SECOND
+                    commands.append(Went(order.id, name, 0, Step.NOT_REACHED, f"silent for {silent} s"))
+                elif settled and self.watch.is_fresh(name, now):
+                    commands += self._ask(now, order, name)
+            else:
+                commands += self._outcome(book, order, name)
+        return commands
+
+    def _ask(self, now: int, order: Order, name: str) -> list[Command]:
+        member = order.members[name]
+        if member.tries and now - self._asked.get(name, 0) < self.rules.ask_again:
+            return []
+        self._asked[name] = now
+        back = "/back" if order.phase is Phase.RETURNING else ""
+        return [Ask(f"{order.id}/{name}{back}/{member.tries}", name, order.id)]
+
+    def _outcome(self, book: Book, order: Order, name: str) -> list[Command]:
+        """What its keeper tells of the turn, by its number: it is asked and never guessed."""
+        member, seen, want = order.members[name], self.watch.seen.get(name), book.wants.get(name, Want(""))
+        if member.step is not Step.OUT or seen is None or seen.report.turn != want.turn:
+            return []
+        report = seen.report
+        if report.outcome == "failed":
+            return [Went(order.id, name, member.number, Step.FAILED, report.why)]
+        if report.outcome == "done" and not want.up:
+            return [Went(order.id, name, member.number, Step.DRAINED)]
+        return []
+
+    def _returns(self, now: int, book: Book, order: Order) -> list[Command]:
+        """What is out comes in by itself; what was released asks for leave to go back, in waves that the
+        limits make: whoever is refused asks again."""
+        commands: list[Command] = []
+        waiting = [name for name, one in order.members.items() if one.step is Step.TO_RETURN]
+        out = [name for name, one in order.members.items() if one.step in (Step.OUT, Step.FAILED)]
+        for name in out:
+            commands += self._outcome(book, order, name)
+        # Those whose program does not run go first: they have nothing to lose.
+        waiting.sort(key=lambda name: (name not in book.register.out, name))
+        size = max(1, len(order.members) // 4)
+        for name in waiting[: max(0, size - len(out))]:
+            if self.watch.is_fresh(name, now):
+                commands += self._ask(now, order, name)
+        return commands
+
+    # Evidence
+
+    def _look(self, now: int, book: Book, order: Order) -> list[Command]:
+        if order.kind is not Kind.RELEASE or not any(one.step is Step.DONE for one in order.members.values()):
+            return []
+        ones, others = released(book, order)
+        # The keeper's own count of unasked ends is compared from the beginning of the wave's watch.
+        looked = self._looked
+        if looked is None or (looked.order, looked.stage) != (order.id, order.stage):
+            looked = self._looked = Looked(
+                order.id,
+                order.stage,
+                now,
+                Evidence(MEASURES, self.rules.evidence, self._draw),
+                {},
+                {name: seen.report.ends for name, seen in self.watch.seen.items()},
+                now - self.rules.span,
+            )
+        if now - looked.at < self.rules.span:
+            return []
+        looked.at = now
+        ours, theirs = self._spans(looked, now, ones), self._spans(looked, now, others)
+        regions = {book.register.units[name].region for name in ours}
+        apart = regions.isdisjoint(book.register.units[name].region for name in theirs)
+        for measure in MEASURES:
+            looked.evidence.span(
+                self._tallies(book, ours, measure, apart),
+                self._tallies(book, theirs, measure, apart),
+                measure,
+            )
+        if looked.evidence.verdict is Verdict.HALT:
+            return [Stop(order.id, looked.evidence.why)]
+        if order.phase is Phase.GOING:
+            # Seen when its last wave is back, not before: evidence of few must not let all of them go.
+            looked.began = now
+            return []
+        settled = self._unsettled_since is None
+        if looked.evidence.verdict is Verdict.GO and settled and now - looked.began >= self.rules.watch_least:
+            return [Next(order.id, order.wave)]
+        return []
+
+    def _spans(self, looked: Looked, now: int, names: list[str]) -> dict[str, tuple[Counts, Counts]]:
+        """Of each that was heard, its counts before and now; a new process has nothing before."""
+        spans = {}
+        for name in names:
+            seen = self.watch.seen.get(name)
+            if seen is None or not self.watch.is_fresh(name, now) or not seen.report.counts.life:
+                continue
+            counts = seen.report.counts
+            before = looked.counts.get(name)
+            looked.counts[name] = counts
+            if before is not None and before.life == counts.life:
+                spans[name] = before, counts
+        return spans
+
+    def _tallies(
+        self, book: Book, spans: dict[str, tuple[Counts, Counts]], measure: str, apart: bool
+    ) -> dict[str, Tally]:
+        """By region. `apart`: nobody of a released one's region is left to compare with, and those of the
+        others must do."""
+        told: dict[str, Tally] = {}
+        for name, (before, after) in spans.items():
+            region = "" if apart else book.register.units[name].region
+            bad = getattr(after, measure) - getattr(before, measure)
+            # Answers of this span may be to dialogs of the one before.
+            whole = max(bad, after.taken - before.taken)
+            held = told.get(region, Tally(0, 0))
+            told[region] = Tally(held.bad + bad, held.whole + whole)
+        return told
--- a/valverouter/rollout/council.py
+++ b/valverouter/rollout/council.py
@@ -125,8 +125,7 @@
 # What is said
 
 
-@dataclass(frozen=True, slots=True)
-class Vote:
+class Vote(Struct, frozen=True, array_like=True, tag=True):
     """`ahead`: would you, before any term is changed."""
 
     term: int
@@ -137,8 +136,7 @@
     ahead: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Voted:
+class Voted(Struct, frozen=True, array_like=True, tag=True):
     term: int
     name: str
     disk: int
@@ -146,8 +144,7 @@
     ahead: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Append:
+class Append(Struct, frozen=True, array_like=True, tag=True):
     term: int
     name: str
     before: int
@@ -158,8 +155,7 @@
     turn: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Appended:
+class Appended(Struct, frozen=True, array_like=True, tag=True):
     """`has`: the last index that is the leader's as well; where not `taken`, from where to try again."""
 
     term: int
@@ -170,8 +166,7 @@
     turn: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Install:
+class Install(Struct, frozen=True, array_like=True, tag=True):
     term: int
     name: str
     snapshot: Snapshot
@@ -215,6 +210,8 @@
         self._has: dict[str, int] = {}
         self._answered: dict[str, int] = {}
         self._turn = 0
+        self._acked: dict[str, int] = {}
+        self._members: Members | None = None
         self._heard_at = now - PATIENCE
         self.due = 0
         self._rest()
@@ -243,16 +240,19 @@
     @property
     def members(self) -> Members:
         """The newest in the record, agreed on or not: one change at a time makes any two majorities meet."""
-        for entry in reversed(self.durable.entries):
-            if isinstance(entry.what, Members):
-                return entry.what
-        return self.durable.snapshot.members if self.durable.snapshot else Members(())
+        if self._members is None:
+            whole = self.durable.snapshot.members if self.durable.snapshot else Members(())
+            newest = (one.what for one in reversed(self.durable.entries) if isinstance(one.what, Members))
+            self._members = next(newest, whole)
+        return self._members
 
     @property
     def is_member(self) -> bool:
         return self.members.has(self.name, self.durable.disk)
 
     def _save(self, save: Save) -> None:
+        if not isinstance(save, SaveTerm):
+            self._members = None  # going through the record at each question was half of a seat's work
         self.durable.apply(save)
         self.saves.append(save)
 
@@ -282,6 +282,25 @@
         lately = [n for n, _ in self.members.disks if self._now - self._answered.get(n, 0) < 2 * PATIENCE]
         return len(lately) < self.members.majority
 
+    # Whether it still leads
+
+    @property
+    def round(self) -> int:
+        """The number of its last round, as a leader."""
+        return self._turn
+
+    @property
+    def confirmed(self) -> int:
+        """The last round that a majority has answered: it led when that began, whatever has come since. What
+        it says of the record to those who asked before then was not out of date when they asked (6.4). 0:
+        none, or nothing of its own is agreed on yet."""
+        if self.part is not Part.LEADER or self.term_at(self._agreed) != self.durable.term:
+            return 0
+        acked = [
+            self._turn if name == self.name else self._acked.get(name, 0) for name, _ in self.members.disks
+        ]
+        return sorted(acked, reverse=True)[self.members.majority - 1] if self.is_member else 0
+
     # Elections
 
     def _asks(self, ahead: bool) -> None:
@@ -315,6 +334,7 @@
         self._next = {name: self.last + 1 for name in names}
         self._has = {name: 0 for name in names}
         self._answered = {name: self._now for name in names}
+        self._acked = {}
         self._add(None)
         self.due = self._now + PATIENCE // 4
 
@@ -367,7 +387,7 @@
         self._save(SaveEntries(self.last + 1, (entry,)))
         if isinstance(what, Members):
             names = {name for name, _ in what.disks}
-            for table in (self._next, self._has, self._answered):
+            for table in (self._next, self._has, self._answered, self._acked):
                 for name in table.keys() - names:
                     # Kept, what its former disk held would count as held by the one that takes its place.
                     del table[name]
@@ -532,6 +552,7 @@
         if not self.members.has(said.name, said.disk):
             return
         self._answered[said.name] = self._now
+        self._acked[said.name] = max(self._acked.get(said.name, 0), said.turn)
         if said.taken:
             self._has[said.name] = max(self._has[said.name], said.has)
             self._next[said.name] = max(self._next[said.name], said.has + 1)
--- /dev/null
+++ b/valverouter/rollout/keeping.py
@@ -0,0 +1,264 @@
+"""What a keeper decides: one instance's program, started by version and started again, and the turns by which
+it goes out.
+
+The council tells what is wanted (`Want`); the keeper makes its instance so. Coming up needs nobody's leave.
+Going out does: a turn by its permit's number, begun at most once, on disk before it begins. A word with a
+lower turn than the highest begun is void, however late it comes; so is one that answers no report of this
+process.
+
+Without I/O: fed with what happened, it says what to do next and what to report. The machine's own wish (a
+SIGTERM at the keeper) is always obeyed, and reported as out without leave.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from msgspec import Struct
+
+from valverouter.rollout.limits import Sort
+from valverouter.rollout.orders import Want
+
+SECOND = 10**9
+# A start that has not brought the program up by then has failed; after so many the turn is told as failed.
+STARTS = 3
+# Before a program that ended is started again, doubled with each end in a row, and its most.
+AGAIN = SECOND // 4
+AGAIN_MOST = 15 * SECOND
+# A program that ran for so long did come up: its end is an end, and not a failed start.
+CAME_UP = 5 * SECOND
+# Turns that are kept, for those who ask by number what became of one; the oldest leave.
+TURNS_KEPT = 64
+
+
+class Turn(Struct, frozen=True):
+    """One that was begun. `outcome`: empty while it is under way, done, or failed."""
+
+    number: int
+    step: int
+    order: str
+    outcome: str = ""
+    why: str = ""
+
+
+class Memory(Struct):
+    """What the keeper's disk holds. `version`, `up`: what its instance should be."""
+
+    version: str
+    up: bool = True
+    turns: list[Turn] = []
+
+    @property
+    def highest(self) -> tuple[int, int]:
+        """The highest turn begun."""
+        return (self.turns[-1].number, self.turns[-1].step) if self.turns else (0, 0)
+
+
+class Counts(Struct, frozen=True):
+    """What an instance tells of itself since its start; None of it is believed of a former process.
+
+    `life`: of the process. `ready`: it has the list and a server. `trust`: in its view of the fleet.
+    """
+
+    life: int = 0
+    serving: bool = False
+    ready: bool = False
+    taken: int = 0
+    declined: int = 0
+    lost: int = 0
+    late: int = 0
+    trust: str = ""
+
+
+class Facts(Struct, frozen=True):
+    """Who an instance is, as its keeper's terms say."""
+
+    name: str
+    sort: Sort = Sort.EDGE
+    region: str = ""
+    capacity: int = 0
+    processor: float = 0.0
+    versions: tuple[str, ...] = ()
+
+
+class Report(Struct, frozen=True):
+    """What a keeper tells the council, now and then. `number`, `step`: the highest turn begun, and
+    `outcome`."""
+
+    facts: Facts
+    version: str
+    runs: bool
+    number: int = 0
+    step: int = 0
+    outcome: str = ""
+    why: str = ""
+    # Ends of the program that nobody asked for, since the last turn.
+    ends: int = 0
+    # The machine has asked the keeper to go.
+    leaving: bool = False
+    counts: Counts = Counts()
+
+    @property
+    def turn(self) -> tuple[int, int]:
+        return self.number, self.step
+
+
+class Do(Enum):
+    """START the program of `version`; STOP it, as SIGTERM asks; SAVE the memory, before anything else."""
+
+    START = "start"
+    STOP = "stop"
+    SAVE = "save"
+
+
+@dataclass(slots=True)
+class Keeping:
+    """One instance's keeper. `act` gives what to do next, one thing after the other."""
+
+    facts: Facts
+    memory: Memory
+    runs: bool = False
+    running: str = ""
+    ends: int = 0
+    leaving: bool = False
+    counts: Counts = field(default_factory=Counts)
+    _stopping: bool = False
+    _unsaved: bool = False
+    # The turn under way wants the program stopped first.
+    _must_stop: bool = False
+    _starts: int = 0
+    _began_at: int = 0
+    _start_at: int = 0
+    _ends_in_a_row: int = 0
+
+    def wanted(self, now: int, want: Want, is_open: bool) -> bool:
+        """The council's word, in answer to a report of this process. Whether it began a turn.
+
+        `is_open`: its permit is still held. Where it is not, this keeper has lost its disk: the turn was
+        carried out by its former self, and is taken for done. What runs meanwhile goes on running: to take it
+        out, for another version too, needs an open permit.
+        """
+        if self.leaving or want.turn <= self.memory.highest:
+            return False
+        if not is_open:
+            self.memory.version, self.memory.up = want.version, want.up
+            self._begin(Turn(want.number, want.step, want.order, "done", "of a former memory"))
+            return False
+        if want.version not in self.facts.versions:
+            self._begin(Turn(want.number, want.step, want.order, "failed", f"no version {want.version!r}"))
+            return True
+        self.memory.version, self.memory.up = want.version, want.up
+        self._begin(Turn(want.number, want.step, want.order))
+        self._must_stop = self.runs
+        self._starts, self._start_at, self._ends_in_a_row, self.ends = 0, now, 0, 0
+        return True
+
+    def _begin(self, turn: Turn) -> None:
+        self.memory.turns.append(turn)
+        del self.memory.turns[:-TURNS_KEPT]
+        self._unsaved = True
+
+    def _finish(self, outcome: str, why: str = "") -> None:
+        last = self.memory.turns[-1]
+        if last.outcome != outcome:
+            self.memory.turns[-1] = Turn(last.number, last.step, last.order, outcome, why)
+            self._unsaved = True
+
+    @property
+    def _open(self) -> bool:
+        return bool(self.memory.turns) and self.memory.turns[-1].outcome in ("", "failed")
+
+    def resumes(self, runs: bool) -> None:
+        """After the keeper's own restart: a turn that was begun and not ended goes on from its beginning, its
+        program being stopped if it still runs. It is the same turn, and it is told only once as done."""
+        self.runs = runs
+        self._must_stop = runs and self._open
+
+    # What happened
+
+    def started(self, now: int, version: str) -> None:
+        self.runs, self.running, self._began_at = True, version, now
+        self._stopping = False
+        self.counts = Counts()
+
+    def ended(self, now: int) -> None:
+        """The program has ended, asked or not."""
+        asked = self._stopping
+        self.runs, self._stopping, self._must_stop = False, False, False
+        self.counts = Counts()
+        if asked or self.leaving:
+            self._start_at = now
+            return
+        came_up = now - self._began_at >= CAME_UP
+        if self._open and not came_up:
+            self._starts += 1
+            if self._starts >= STARTS:
+                self._finish("failed", f"{self.memory.version} ended {self._starts} times at its start")
+        else:
+            self.ends += 1
+        self._ends_in_a_row = 1 if came_up else self._ends_in_a_row + 1
+        self._start_at = now + min(AGAIN_MOST, AGAIN << min(self._ends_in_a_row - 1, 10))
+
+    def could_not_start(self, now: int) -> None:
+        """There is no such command, or no process to be had."""
+        self._began_at = now
+        self.ended(now)
+
+    def told(self, counts: Counts) -> None:
+        """What the instance answers of itself."""
+        if not self.runs or self._must_stop or self._stopping:
+            return
+        self.counts = counts
+        if self._open and self.memory.up and counts.serving and counts.ready:
+            self._finish("done")
+
+    def leave(self) -> None:
+        """The machine asks this keeper to go: obeyed, whatever the council says."""
+        self.leaving = True
+
+    # What to do
+
+    def act(self, now: int) -> Do | None:
+        if self._unsaved:
+            return Do.SAVE
+        if self.runs:
+            unwanted = self._must_stop or not self.memory.up or self.leaving
+            return Do.STOP if unwanted and not self._stopping else None
+        if self.leaving:
+            return None
+        if not self.memory.up:
+            if self._open:
+                self._finish("done")
+                return Do.SAVE
+            return None
+        return Do.START if now >= self._start_at else None
+
+    def saved(self) -> None:
+        self._unsaved = False
+
+    def asked_to_stop(self) -> None:
+        self._stopping = True
+
+    @property
+    def due(self) -> int:
+        """When to look again, if nothing happens."""
+        return self._start_at
+
+    def report(self) -> Report:
+        """Of a turn that is not on disk yet nothing is told."""
+        last = self.memory.turns[-1] if self.memory.turns else Turn(0, 0, "")
+        if self._unsaved and self.memory.turns:
+            last = Turn(last.number, last.step, last.order)
+        return Report(
+            facts=self.facts,
+            version=self.running if self.runs else self.memory.version,
+            runs=self.runs and not self._must_stop,
+            number=last.number,
+            step=last.step,
+            outcome=last.outcome,
+            why=last.why,
+            ends=self.ends,
+            leaving=self.leaving,
+            counts=self.counts,
+        )
--- a/valverouter/rollout/limits.py
+++ b/valverouter/rollout/limits.py
@@ -124,17 +124,23 @@
 
 def waves(limits: Limits, units: list[Unit], out: Iterable[str], wanted: list[str]) -> list[list[str]]:
     """`wanted` in the order in which they may go out together: one, then few, then as many as the limits let,
-    each wave within a region. Raises ValueError with the refusal where one never could."""
+    each wave within a region, the regions in turn. ValueError with the refusal where one never could."""
     by_name = {unit.name: unit for unit in units}
-    regions = Counter(by_name[name].region for name in wanted)
-    # The smallest region first: what a release harms is seen where least depends on it.
-    order = sorted(wanted, key=lambda name: (regions[by_name[name].region], by_name[name].region, name))
+    waiting: dict[str, list[str]] = {}
+    for name in sorted(wanted):
+        waiting.setdefault(by_name[name].region, []).append(name)
+    whole = {region: len(names) for region, names in waiting.items()}
     made: list[list[str]] = []
     size = 1
-    while order:
+    while any(waiting.values()):
+        # The region with the most still to come, the smallest first: what a release harms is seen where least
+        # depends on it, and beside those released there is somebody of their region to compare them with.
+        region = max(
+            (one for one in waiting if waiting[one]),
+            key=lambda one: (len(waiting[one]) / whole[one], -whole[one], one),
+        )
         wave: list[str] = []
-        region = by_name[order[0]].region
-        for name in [name for name in order if by_name[name].region == region]:
+        for name in waiting[region]:
             if len(wave) == size:
                 break
             why = refusal(limits, units, {*out, *wave}, by_name[name])
@@ -144,6 +150,6 @@
                 break
             wave.append(name)
         made.append(wave)
-        order = [name for name in order if name not in wave]
+        waiting[region] = [name for name in waiting[region] if name not in wave]
         size *= 3
     return made
