--- a/valverouter/cli/fleeting.py
+++ b/valverouter/cli/fleeting.py
@@ -15,6 +15,8 @@
 from rich.table import Table
 
 from valverouter.cli.common import BROKEN, FILE, UNUSABLE, console
+from valverouter.cli.ordering import COMMANDS
+from valverouter.cli.seating import council, keeper
 from valverouter.days.emulated_views import run_views
 from valverouter.edge.surroundings import Sockets
 from valverouter.fleet.asking import Heard, Row, differences, is_settled
@@ -36,6 +38,10 @@
     """The fleet as its instances see it."""
 
 
+for command in (council, keeper, *COMMANDS):
+    fleet.add_command(command)
+
+
 @fleet.command("view")
 @click.argument("file", type=FILE)
 @click.option("--at", "at", multiple=True, metavar="IP:PORT", help="Ask there, and nobody else; several.")
--- /dev/null
+++ b/valverouter/cli/ordering.py
@@ -0,0 +1,400 @@
+"""`valverouter fleet drain|undrain|restart|release|halt|back|retire|status|history`: orders to the fleet, by
+its council."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable, Sequence
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+import trio
+from rich.table import Table
+
+from valverouter.cli.common import BROKEN, FAILED, FILE, UNUSABLE, console
+from valverouter.edge.surroundings import Sockets
+from valverouter.fleet.tool import CouncilAsker
+from valverouter.rollout.orders import Command, Kind, Place, Placed, Retire, Stop
+from valverouter.rollout.permits import Halt
+from valverouter.rollout.shown import Order, Shown, Unit
+from valverouter.terms.rollout import load_tool
+
+# Exit codes of an order: done; in part or halted; refused; nobody of the council reached, or not known.
+IN_PART, REFUSED, UNKNOWN = BROKEN, UNUSABLE, FAILED
+WITHIN_S = 10.0
+LOOK_S = 1.0
+
+Option = Callable[[Callable[..., None]], Callable[..., None]]
+
+
+def _all(*options: Option) -> Option:
+    def put(command: Callable[..., None]) -> Callable[..., None]:
+        for option in reversed(options):
+            command = option(command)
+        return command
+
+    return put
+
+
+whom = _all(
+    click.argument("file", type=FILE),
+    click.argument("names", nargs=-1),
+    click.option("--region", multiple=True, help="All of this region; several."),
+    click.option("--version", "present", multiple=True, help="All that run this version; several."),
+    click.option("--state", multiple=True, help="All that are in, out, away or drained; several."),
+    click.option("--servers", is_flag=True, help="Of the servers, not of the edge proxies."),
+    click.option("--all", "everybody", is_flag=True, help="All of them."),
+)
+how = _all(
+    click.option("--id", "id_", default="", help="The order's own id; told again, it is the same order."),
+    click.option("--dry-run", is_flag=True, help="Show the waves; nothing is ordered."),
+    click.option("--no-wait", is_flag=True, help="Do not follow the order to its end."),
+    click.option("--json", "as_json", is_flag=True, help="The order as JSON, once it is known."),
+)
+
+
+def _order(kind: Kind, version: str, told: dict[str, Any]) -> None:
+    """Picks, plans, places and follows."""
+    shown = _show(told["file"])
+    picked = _picked(shown.units, kind, version, told)
+    place = Place(
+        told["id_"] or f"{kind.value}-{secrets.token_hex(4)}",
+        kind,
+        tuple(picked),
+        version,
+        time.time_ns() // 1_000_000,
+        "tool",
+    )
+    what = "plan" if told["dry_run"] else "do"
+    if not told["dry_run"]:
+        console.print(f"order {place.id}", highlight=False)
+    placed = _ask(told["file"], what, place, Placed)
+    if placed is None:
+        _unknown(place.id)
+    if placed.why:
+        console.print(f"refused: {placed.why}", highlight=False, soft_wrap=True)
+        sys.exit(REFUSED)
+    if told["dry_run"]:
+        _waves(shown, place, placed)
+        return
+    if told["no_wait"]:
+        return
+    _follow(told["file"], place.id, told["as_json"])
+
+
+def _picked(units: Sequence[Unit], kind: Kind, version: str, told: dict[str, Any]) -> list[str]:
+    """Those meant; ValueError for a selector that means nobody it could."""
+    sort = "server" if told["servers"] else "edge proxy"
+    same = {unit.name: unit for unit in units if unit.sort == sort}
+    for key, known in (
+        ("region", {unit.region for unit in same.values()}),
+        ("state", {"in", "out", "away", "drained"}),
+        ("present", {unit.wanted for unit in same.values()}),
+    ):
+        for word in told[key]:
+            if word not in known:
+                shown = ", ".join(sorted(known)) or "none"
+                what = "version" if key == "present" else key
+                raise ValueError(f"nobody is of {what} {word!r}; known: {shown}")
+    for name in told["names"]:
+        if name not in same:
+            raise ValueError(f"there is no {sort} {name!r}")
+    selects = told["region"] or told["state"] or told["present"] or told["everybody"]
+    picked = [
+        name
+        for name, unit in same.items()
+        if name in told["names"]
+        or (
+            selects
+            and (not told["region"] or unit.region in told["region"])
+            and (not told["state"] or unit.state in told["state"])
+            and (not told["present"] or unit.wanted in told["present"])
+        )
+    ]
+    if kind is Kind.RELEASE:
+        # Those that were released before are at it already.
+        picked = [name for name in picked if same[name].wanted != version or name in told["names"]]
+    if not told["names"]:
+        brings_in = kind is Kind.UNDRAIN
+        picked = [name for name in picked if (same[name].state == "drained") is brings_in]
+    if not picked:
+        raise ValueError("that means nobody: give names, --region, --version, --state or --all")
+    return picked
+
+
+@click.command("drain")
+@whom
+@how
+def drain(**told: Any) -> None:
+    """Take instances out, and leave them out until undrain.
+
+    FILE is the terms of any seat or keeper. Exits with 0 done, 1 in part or halted, 2 refused, 3 unknown.
+    """
+    _order(Kind.DRAIN, "", told)
+
+
+@click.command("undrain")
+@whom
+@how
+def undrain(**told: Any) -> None:
+    """Bring drained instances in again."""
+    _order(Kind.UNDRAIN, "", told)
+
+
+@click.command("restart")
+@whom
+@how
+def restart(**told: Any) -> None:
+    """Restart instances, wave by wave."""
+    _order(Kind.RESTART, "", told)
+
+
+@click.command("release")
+@whom
+@click.option("--to", "version", required=True, help="The version, a label of the keepers' terms.")
+@how
+def release(version: str, **told: Any) -> None:
+    """Bring instances to a version, wave by wave, while the evidence lets it."""
+    _order(Kind.RELEASE, version, told)
+
+
+@click.command("halt")
+@click.argument("file", type=FILE)
+@click.argument("order", default="")
+@click.option("--why", default="by hand", show_default=True)
+@click.option("--stay", is_flag=True, help="What was released stays at its new version.")
+@click.option("--hold", is_flag=True, help="Take no further orders either, until --over.")
+@click.option("--over", is_flag=True, help="Take orders again.")
+def halt(file: Path, order: str, why: str, stay: bool, hold: bool, over: bool) -> None:
+    """Halt ORDER, or all: nothing further goes out, and what is out comes in.
+
+    What a release brought to its new version goes back, unless it is to stay.
+    """
+    commands: list[Command] = [Halt("", over=True)] if over else [Stop(order, why, not stay, _wall())]
+    if hold and not over:
+        commands.insert(0, Halt(why))
+    for command in commands:
+        if _ask(file, "do", command, Any) is None:
+            _unknown(order)
+
+
+@click.command("back")
+@click.argument("file", type=FILE)
+@click.argument("order")
+@click.option("--no-wait", is_flag=True)
+@click.option("--json", "as_json", is_flag=True)
+def back(file: Path, order: str, no_wait: bool, as_json: bool) -> None:
+    """Bring back what the release ORDER brought to its version, whether it goes or has ended."""
+    known = next((one for one in _show(file).orders if one.id == order), None)
+    if known is None or known.kind != Kind.RELEASE.value:
+        raise ValueError(f"there is no release {order!r}")
+    if known.phase != "ended":
+        if _ask(file, "do", Stop(order, "back, by hand", True, _wall()), Any) is None:
+            _unknown(order)
+        if not no_wait:
+            _follow(file, order, as_json)
+        return
+    former = {member.former for member in known.members if member.step == "done"}
+    if len(former) != 1:
+        raise ValueError(f"{order} brought instances from {len(former)} versions: release them by name")
+    names = tuple(member.name for member in known.members if member.step == "done")
+    place = Place(f"{order}-back", Kind.RELEASE, names, former.pop(), _wall(), "tool")
+    console.print(f"order {place.id}", highlight=False)
+    placed = _ask(file, "do", place, Placed)
+    if placed is None:
+        _unknown(place.id)
+    if placed.why:
+        console.print(f"refused: {placed.why}", highlight=False, soft_wrap=True)
+        sys.exit(REFUSED)
+    if not no_wait:
+        _follow(file, place.id, as_json)
+
+
+@click.command("retire")
+@click.argument("file", type=FILE)
+@click.argument("name")
+def retire(file: Path, name: str) -> None:
+    """Strike NAME, which is no part of the fleet any more, and whatever waits for it goes on."""
+    if _ask(file, "do", Retire(name), Any) is None:
+        _unknown(name)
+
+
+@click.command("status")
+@click.argument("file", type=FILE)
+@click.option("--json", "as_json", is_flag=True)
+@click.option("--watch", is_flag=True, help="Again each second, until interrupted.")
+def status(file: Path, as_json: bool, watch: bool) -> None:
+    """Who is out and by what, and the orders that wait or go."""
+    while True:
+        shown = _show(file)
+        if watch and console.is_terminal:
+            console.clear()
+        if as_json:
+            click.echo(msgspec.json.encode(shown).decode())
+        else:
+            _status(shown)
+        if not watch:
+            return
+        time.sleep(LOOK_S)
+
+
+@click.command("history")
+@click.argument("file", type=FILE)
+@click.argument("order", default="")
+@click.option("--json", "as_json", is_flag=True)
+def history(file: Path, order: str, as_json: bool) -> None:
+    """The orders that the record holds, or one of them with what became of each instance."""
+    orders = [one for one in _show(file).orders if order in ("", one.id)]
+    if order and not orders:
+        raise ValueError(f"there is no order {order!r}")
+    if as_json:
+        click.echo(msgspec.json.encode(orders).decode())
+        return
+    table = _table("order", "kind", "placed", "end", "instances")
+    for one in orders:
+        table.add_row(one.id, one.kind, _date(one.at), one.result or one.phase, _counts(one))
+    console.print(table, highlight=False)
+    for one in orders if order else ():
+        if one.why:
+            console.print(f"halted: {one.why}", highlight=False, soft_wrap=True)
+        _members(one)
+
+
+# The council
+
+
+def _wall() -> int:
+    return time.time_ns() // 1_000_000
+
+
+def _ask(file: Path, what: str, command: Command | None, kind: Any) -> Any:
+    terms = load_tool(file)
+
+    async def asked() -> Any:
+        host = next(iter(terms.council.values())).rpartition(":")[0]
+        socket = Sockets().datagrams("[::]:0" if ":" in host else "0.0.0.0:0")
+        try:
+            asker = CouncilAsker(terms, socket, random.Random(secrets.randbits(64)))
+            return await asker.ask(what, command, kind, WITHIN_S)
+        finally:
+            socket.close()
+
+    return trio.run(asked)
+
+
+def _show(file: Path) -> Shown:
+    shown = _ask(file, "show", None, Shown)
+    if shown is None:
+        console.print("nobody of the council who leads was reached", highlight=False)
+        sys.exit(UNKNOWN)
+    return shown  # type: ignore[no-any-return]
+
+
+def _unknown(what: str) -> None:
+    console.print(f"unknown what became of {what or 'it'}: no answer; ask by its id", highlight=False)
+    sys.exit(UNKNOWN)
+
+
+def _follow(file: Path, order: str, as_json: bool) -> None:
+    """Until it ends; what changes is told line by line, and interrupting it ends the telling alone."""
+    said = ""
+    while True:
+        shown = _show(file)
+        one = next((one for one in shown.orders if one.id == order), None)
+        if one is None:
+            _unknown(order)
+            return
+        line = f"{one.phase}, wave {one.wave + 1} of {len(one.waves)}: {_counts(one)}"
+        if shown.least and one.phase == "watching":
+            line += f"; evidence: {shown.pairs} pairs, {shown.least} at least"
+        if line != said and not as_json:
+            said = line
+            console.print(line, highlight=False, soft_wrap=True)
+        if one.phase == "ended":
+            break
+        time.sleep(LOOK_S)
+    if as_json:
+        click.echo(msgspec.json.encode(one).decode())
+    elif one.why:
+        console.print(f"halted: {one.why}", highlight=False, soft_wrap=True)
+    if one.result != "done":
+        if not as_json:
+            _members(one)
+        sys.exit(IN_PART)
+
+
+# Shown
+
+
+def _table(*heads: str) -> Table:
+    table = Table(box=None, pad_edge=False)
+    for head in heads:
+        table.add_column(head, overflow="fold")
+    return table
+
+
+def _date(ms: int) -> str:
+    return f"{datetime.fromtimestamp(ms / 1_000, UTC):%m-%d %H:%M:%S}" if ms else ""
+
+
+def _counts(order: Order) -> str:
+    return ", ".join(f"{count} {step}" for step, count in Counter(m.step for m in order.members).items())
+
+
+def _members(order: Order) -> None:
+    table = _table("instance", "step", "permit", "why")
+    for member in order.members:
+        table.add_row(member.name, member.step, str(member.number or ""), member.why)
+    console.print(table, highlight=False)
+
+
+def _waves(shown: Shown, place: Place, placed: Placed) -> None:
+    """What would go out when, and how many of its region stay."""
+    regions = {unit.name: unit.region for unit in shown.units}
+    whole = Counter(unit.region for unit in shown.units if unit.sort == _sort_of(shown, place))
+    table = _table("wave", "region", "out", "stay there")
+    for at, wave in enumerate(placed.waves, 1):
+        region = regions[wave[0]]
+        table.add_row(str(at), region, ", ".join(wave), f"{whole[region] - len(wave)} of {whole[region]}")
+    console.print(table, highlight=False)
+
+
+def _sort_of(shown: Shown, place: Place) -> str:
+    return next(unit.sort for unit in shown.units if unit.name == place.names[0])
+
+
+def _status(shown: Shown) -> None:
+    seats = ", ".join(shown.members)
+    console.print(f"{shown.seat} leads in term {shown.term}; council: {seats}", highlight=False)
+    if shown.halted:
+        console.print(f"halted: {shown.halted}", highlight=False, soft_wrap=True)
+    states = Counter((unit.sort, unit.state) for unit in shown.units)
+    for (sort, state), count in sorted(states.items()):
+        console.print(f"{count} {sort} {state}", highlight=False)
+    odd = [unit for unit in shown.units if unit.state != "in" or unit.version not in ("", unit.wanted)]
+    if odd:
+        table = _table("instance", "region", "state", "runs", "wanted", "by")
+        for unit in odd:
+            by = f"{unit.order} ({unit.number})" if unit.number else ""
+            table.add_row(unit.name, unit.region, unit.state, unit.version, unit.wanted, by)
+        console.print(table, highlight=False)
+    for order in shown.orders:
+        if order.phase != "ended":
+            line = f"{order.id}: {order.kind} {order.version}".rstrip()
+            wave = f"wave {order.wave + 1} of {len(order.waves)}"
+            console.print(f"{line}, {order.phase}, {wave}: {_counts(order)}", highlight=False, soft_wrap=True)
+            if order.why:
+                console.print(f"  halted: {order.why}", highlight=False, soft_wrap=True)
+            for member in order.members:
+                if member.why and member.step in ("waiting", "failed", "to return"):
+                    console.print(f"  {member.name}: {member.why}", highlight=False, soft_wrap=True)
+
+
+COMMANDS = (drain, undrain, restart, release, halt, back, retire, status, history)
--- /dev/null
+++ b/valverouter/cli/seating.py
@@ -0,0 +1,112 @@
+"""`valverouter fleet council` and `fleet keeper`: the processes beside the edge proxies."""
+
+from __future__ import annotations
+
+import secrets
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import click
+import structlog
+import trio
+
+from valverouter.cli.common import FAILED, FILE, leaf
+from valverouter.edge import logs
+from valverouter.edge.surroundings import Sockets
+from valverouter.fleet.council import NotFoundedError, SeatTask
+from valverouter.fleet.keeper import KeeperTask
+from valverouter.ledger.councilstore import CouncilStore
+from valverouter.ledger.keeperstore import opened
+from valverouter.ledger.store import LedgerBusyError, LedgerError
+from valverouter.terms.rollout import SeatTerms, load_keeper, load_seat
+
+log = structlog.get_logger()
+
+
+@click.command("council")
+@click.argument("file", type=FILE)
+@click.option("--found", is_flag=True, help="The first seat of a new council; once, at one seat.")
+def council(file: Path, found: bool) -> None:
+    """Run a seat of the council by the terms in FILE until SIGTERM or SIGINT.
+
+    A seat whose store is empty waits to be let in by the others. Logs go to standard error.
+    """
+    terms = load_seat(file)
+    logs.set_up(terms.log)
+    try:
+        store = _store(terms)
+        try:
+            trio.run(_seat, terms, store, found)
+        finally:
+            store.close()
+    except* (OSError, LedgerError, NotFoundedError) as group:
+        log.error("could-not-run", why=str(leaf(group)), listen=terms.listen)
+        sys.exit(FAILED)
+
+
+def _store(terms: SeatTerms) -> CouncilStore:
+    """One that can't be read whole is a lost disk: set aside, and the seat comes back as another."""
+    fresh = secrets.randbits(63)
+    try:
+        store = CouncilStore(terms.store, fresh)
+        try:
+            store.load()
+            return store
+        except LedgerError:
+            store.close()
+            raise
+    except LedgerBusyError:
+        raise
+    except LedgerError as error:
+        aside = terms.store.with_name(f"{terms.store.name}.aside-{time.time_ns()}")
+        terms.store.rename(aside)
+        log.error("record-set-aside", why=str(error), to=str(aside))
+        return CouncilStore(terms.store, fresh)
+
+
+async def _seat(terms: SeatTerms, store: CouncilStore, found: bool) -> None:
+    task = SeatTask(terms, Sockets(), store, found)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(task.run)
+        await _until_asked(lambda: None)
+        nursery.cancel_scope.cancel()
+
+
+@click.command("keeper")
+@click.argument("file", type=FILE)
+def keeper(file: Path) -> None:
+    """Keep one instance by the terms in FILE until SIGTERM or SIGINT.
+
+    Asked to end, it asks its instance to end first, and tells the council, which counts it as out without
+    leave. Killed, it leaves its instance running, and takes it over when it is started again.
+    """
+    terms = load_keeper(file)
+    logs.set_up(terms.log)
+    try:
+        store, memory, aside = opened(terms.store)
+        if aside:
+            log.error("memory-set-aside", why=aside)
+        try:
+            task = KeeperTask(terms, Sockets(), store, memory)
+            trio.run(_keep, task)
+        finally:
+            store.close()
+    except* (OSError, LedgerError) as group:
+        log.error("could-not-run", why=str(leaf(group)), listen=terms.listen)
+        sys.exit(FAILED)
+
+
+async def _keep(task: KeeperTask) -> None:
+    async with trio.open_nursery() as nursery:
+        await nursery.start(task.run)
+        await _until_asked(task.leave)
+
+
+async def _until_asked(act: Callable[[], None]) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            act()
+            return
--- /dev/null
+++ b/valverouter/days/ordering.py
@@ -0,0 +1,349 @@
+"""Orders to a fleet of real processes on loopback: a council, keepers with their edge proxies, the tool, and
+faults between them.
+
+All datagrams between seats, keepers and edge proxies pass a stand-in of the paths, as the view's do; the tool
+is a process too, and speaks to the seats past it. What is judged comes from the keepers' own logs.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from datetime import datetime
+from pathlib import Path
+
+import msgspec
+import trio
+
+from valverouter.days.viewing import SECRET
+from valverouter.days.world import World
+from valverouter.edge.surroundings import Sockets
+from valverouter.rollout.shown import Shown
+from valverouter.servermodel.paths import PathFault, Paths
+from valverouter.signalling.tap import Fault, Limited, Ordered, Row, Runs, Turned
+from valverouter.standins.paths import PathStandIn
+from valverouter.terms.day import Day
+
+START_WITHIN_S = 30
+FAULT_SLACK = 200_000_000
+CLI = (sys.executable, "-m", "valverouter.cli")
+# Of a version that ends by itself: after so long, in seconds.
+DIES_AFTER_S = 4
+SEATS = ("c0", "c1", "c2")
+
+
+class _Line(msgspec.Struct):
+    event: str = ""
+    timestamp: str = ""
+    version: str = ""
+    number: int = 0
+    step: int = 0
+    up: bool = True
+    outcome: str = ""
+
+
+class Kept:
+    """An edge proxy as the day's callers see it: an address that stays."""
+
+    def __init__(self, name: str, address: str) -> None:
+        self.name = name
+        self.address = address
+
+    async def start(self) -> None:
+        raise NotImplementedError("its keeper starts it")
+
+    kill = stop = start
+
+    async def stall(self, span: int) -> None:
+        raise NotImplementedError("stalled by name")
+
+
+class OrderRig:
+    """The processes of one course, by name: seats c0 to c2, keepers k0..., and the edge proxies e0... that
+    the keepers start."""
+
+    def __init__(self, day: Day, folder: Path, world: World, most: int, in_region: int) -> None:
+        self.day = day
+        self.folder = folder.absolute()
+        self.world = world
+        self.edges = [f"e{place}" for place in range(day.fleet.edge_proxies)]
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.limits = most, in_region
+        self.faults: list[PathFault] = []
+        self._draw = random.Random(f"{day.terms.seed}/paths").random
+        self._paths = PathStandIn(Sockets().datagrams, world.now, Paths([], self._draw))
+        self._fronts: dict[str, str] = {}
+        self._real: dict[str, str] = {}
+        self._listen: dict[str, str] = {}
+
+    async def open(self, nursery: trio.Nursery) -> None:
+        """Files and fronts; nothing is started."""
+        await nursery.start(self._paths.run)
+        keepers = [f"k{name[1:]}" for name in self.edges]
+        names = [*SEATS, *keepers, *self.edges]
+        for name, port in zip(names, _free(len(names), socket.SOCK_DGRAM), strict=True):
+            self._real[name] = f"127.0.0.1:{port}"
+            self._fronts[name] = self._paths.open_front(name)
+            self._paths.stands(name, self._real[name])
+        for name, port in zip(self.edges, _free(len(self.edges), socket.SOCK_STREAM), strict=True):
+            self._listen[name] = f"127.0.0.1:{port}"
+        key = self.folder / "fleet.key"
+        with os.fdopen(os.open(key, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600), "wb") as file:
+            file.write(SECRET)
+        self._write_files()
+        most, in_region = self.limits
+        self.world.tap.row(Limited, most=most, in_region=in_region)
+
+    def _write_files(self) -> None:
+        most, in_region = self.limits
+        limits = f"[limits edge proxies]\nmost = {most}\nin_region = {in_region}\n"
+        for name in (*SEATS, "tool"):
+            at = self._real if name == "tool" else self._fronts
+            seats = ", ".join(f"{one} {at[one]}" for one in SEATS)
+            own = SEATS[0] if name == "tool" else name
+            text = f"[seat]\nname = {own}\nlisten = {self._real[own]}\nadvertise = {self._fronts[own]}\n"
+            text += f"key = fleet.key\nstore = {own}.store\ncouncil = {seats}\nsilent = 3s\n"
+            text += f"unsettled = 20s\n\n{limits}\n[evidence]\nleast = 60\nodds = 4\nwatch = 2s\n"
+            (self.folder / f"{name}.ini").write_text(text)
+        seats = ", ".join(f"{one} {self._fronts[one]}" for one in SEATS)
+        for place, name in enumerate(self.edges):
+            self._write_edge(place, name)
+            keeper = f"k{place}"
+            edge = " ".join((*CLI, "edge"))
+            text = f"[keeper]\nname = {name}\nlisten = {self._real[keeper]}\n"
+            text += f"advertise = {self._fronts[keeper]}\nkey = fleet.key\nstore = {keeper}.store\n"
+            text += f"council = {seats}\nasks = {self._real[name]}\nversion = v1\n"
+            text += f"region = {self.day.region_of_edge(place)}\ncapacity = 100\nstop_within = 6s\n"
+            text += f"output = {self.folder / name}.log\n"
+            for version, command in (
+                ("v1", f"{edge} {self.folder / name}.ini"),
+                ("v2", f"{edge} {self.folder / name}.ini"),
+                ("declines", f"{edge} {self.folder / name}.declines.ini"),
+                ("crashes", f"{sys.executable} -c 'raise SystemExit(7)'"),
+                ("dies-late", f"timeout -s KILL {DIES_AFTER_S} {edge} {self.folder / name}.ini"),
+            ):
+                text += f"\n[version {version}]\ncommand = {command}\n"
+            (self.folder / f"{keeper}.ini").write_text(text)
+
+    def _write_edge(self, place: int, name: str) -> None:
+        between = {
+            "listen": self._real[name],
+            "advertise": self._fronts[name],
+            "key": str(self.folder / "fleet.key"),
+            "seeds": ", ".join(self._fronts[one] for one in self.edges[:3]),
+        }
+        list_at, cache = self.world.list.address, str(self.folder / f"{name}.list")
+        ini = self.day.edge_ini(place, self._listen[name], list_at, cache, between=between)
+        (self.folder / f"{name}.ini").write_text(ini)
+        # Declines whatever comes while it has a dialog open.
+        harmful = ini.replace("[fleet]", "[links]\nopen_dialogs = 1\n\n[fleet]", 1)
+        (self.folder / f"{name}.declines.ini").write_text(harmful)
+
+    def callers(self) -> None:
+        for place, name in enumerate(self.edges):
+            self.world.add_callers(place, Kept(name, self._listen[name]))
+
+    # Processes
+
+    def start(self, name: str, *more: str) -> None:
+        """A seat or a keeper; its log goes on in its file."""
+        what = "council" if name in SEATS else "keeper"
+        command = [*CLI, "fleet", what, str(self.folder / f"{name}.ini"), *more]
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(command, stdin=subprocess.DEVNULL, stderr=log)
+
+    async def begin(self) -> None:
+        """The council is founded, keepers start their edge proxies; returns once all are in."""
+        for name in SEATS:
+            self.start(name, *(["--found"] if name == SEATS[0] else []))
+        for place in range(len(self.edges)):
+            self.start(f"k{place}")
+        with trio.fail_after(START_WITHIN_S):
+            while not self._has_begun(await self.status()):
+                await trio.sleep(0.2)
+
+    def _has_begun(self, shown: Shown | None) -> bool:
+        return (
+            shown is not None
+            and set(shown.members) == set(SEATS)
+            and len(shown.units) == len(self.edges)
+            and all(unit.state == "in" and unit.version for unit in shown.units)
+            and all(self._listens(name) for name in self.edges)
+        )
+
+    def _listens(self, name: str) -> bool:
+        log = self.folder / f"{name}.log"
+        return log.exists() and b'"listening"' in log.read_bytes()
+
+    def kill(self, name: str) -> None:
+        """SIGKILL: a seat, a keeper, or an edge proxy behind its keeper."""
+        self._fault(f"kill-{name}", name)
+        if name in self.edges:
+            if (pid := self._pid(name)) is not None:
+                os.kill(pid, signal.SIGKILL)
+            return
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def _pid(self, edge: str) -> int | None:
+        """Of the edge proxy's process, by its file's name in the command: the keeper's word is not asked."""
+        files = {f"{self.folder / edge}.ini".encode(), f"{self.folder / edge}.declines.ini".encode()}
+        for folder in Path("/proc").iterdir():
+            if folder.name.isdigit():
+                try:
+                    words = (folder / "cmdline").read_bytes().split(b"\0")
+                except OSError:
+                    continue
+                if files & set(words) and b"timeout" not in words[0]:
+                    return int(folder.name)
+        return None
+
+    async def stall(self, name: str, seconds: float) -> None:
+        self._fault(f"stall-{name}", name, seconds)
+        process = self.processes[name]
+        os.kill(process.pid, signal.SIGSTOP)
+        try:
+            await trio.sleep(seconds)
+        finally:
+            if process.poll() is None:
+                os.kill(process.pid, signal.SIGCONT)
+
+    def strike(self, fault: PathFault) -> None:
+        """A fault of paths; its moments are the world's."""
+        self.faults = [one for one in self.faults if one.until > self.world.now()] + [fault]
+        self._paths.paths = Paths(self.faults, self._draw)
+        self.world.tap.row(Fault, until=fault.until + FAULT_SLACK, kind=f"path-{fault.kind}", target="paths")
+
+    def _fault(self, kind: str, name: str, seconds: float = 0.0) -> None:
+        until = self.world.now() + round(seconds * 1e9) + FAULT_SLACK
+        target = f"e{name[1:]}" if name[0] == "k" else name
+        self.world.tap.row(Fault, until=until, kind=kind, target=target)
+
+    # The tool
+
+    async def tool(self, *words: str, within: float = 60.0) -> tuple[int, str]:
+        """`valverouter fleet WORD tool.ini ...` as a process: its exit code and what it printed. -1: it was
+        killed for taking longer."""
+        command = [*CLI, "fleet", words[0], str(self.folder / "tool.ini"), *words[1:]]
+        with trio.move_on_after(within):
+            done = await trio.run_process(command, capture_stdout=True, capture_stderr=True, check=False)
+            return done.returncode, (done.stdout + done.stderr).decode()
+        return -1, ""
+
+    async def status(self) -> Shown | None:
+        code, said = await self.tool("status", "--json", within=15.0)
+        return msgspec.json.decode(said.splitlines()[0], type=Shown) if code == 0 and said else None
+
+    async def settled(self, within: float) -> Shown:
+        """Once no order waits or goes and everybody who is to run is in; TooSlowError past that."""
+        with trio.fail_after(within):
+            while True:
+                shown = await self.status()
+                if (
+                    shown is not None
+                    and not any(one.phase != "ended" for one in shown.orders)
+                    and all(unit.state in ("in", "drained") for unit in shown.units)
+                ):
+                    return shown
+                await trio.sleep(0.3)
+
+    # Its end
+
+    async def end(self) -> None:
+        """Everybody is asked to end; the rows of their logs."""
+        shown = await self.status()
+        for process in self.processes.values():
+            process.terminate()
+        with trio.move_on_after(12):
+            while any(process.poll() is None for process in self.processes.values()):
+                await trio.sleep(0.05)
+        for name, process in self.processes.items():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+            if name[0] == "k" and (pid := self._pid(f"e{name[1:]}")) is not None:
+                os.kill(pid, signal.SIGKILL)
+        self._read_logs()
+        for one in shown.orders if shown is not None else ():
+            members = {m.name: (m.step, m.number, m.former) for m in one.members}
+            self.world.tap.row(
+                Ordered,
+                order=one.id,
+                kind=one.kind,
+                version=one.version,
+                phase=one.phase,
+                result=one.result,
+                members=members,
+            )
+
+    def _read_logs(self) -> None:
+        """Moments of the logs are wall time; this clock's now and the wall's are taken together."""
+        base = self.world.now() - round(datetime.now().timestamp() * 1e9)
+        decoder = msgspec.json.Decoder(_Line)
+        rows = self.world.tap.rows
+        for place, name in enumerate(self.edges):
+            turns: dict[tuple[int, int], bool] = {}
+            for line in (self.folder / f"k{place}.log").read_bytes().splitlines():
+                try:
+                    said = decoder.decode(line)
+                except msgspec.DecodeError:
+                    continue
+                if not said.timestamp:
+                    continue
+                at = base + round(datetime.fromisoformat(said.timestamp).timestamp() * 1e9)
+                seq, turn = len(rows), (said.number, said.step)
+                if said.event == "turn":
+                    turns[turn] = said.up
+                    rows.append(Turned(seq, at, name, said.number, said.step, said.up))
+                elif said.event == "turn-over":
+                    up = turns.get(turn, True)
+                    rows.append(Turned(seq, at, name, said.number, said.step, up, said.outcome))
+                elif said.event in ("started", "taken-over"):
+                    rows.append(Runs(seq, at, name, said.version))
+                elif said.event == "ended":
+                    rows.append(Runs(seq, at, name, ""))
+
+
+def _free(count: int, kind: socket.SocketKind) -> list[int]:
+    """Ports that are free now, all at once."""
+    held = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
+    try:
+        for one in held:
+            one.bind(("127.0.0.1", 0))
+        return [int(one.getsockname()[1]) for one in held]
+    finally:
+        for one in held:
+            one.close()
+
+
+def run_orders(
+    day: Day, folder: Path, script: Callable[[OrderRig], Awaitable[None]], most: int = 2, in_region: int = 1
+) -> list[Row]:
+    """Plays the day with `script` beside its callers; the rows of what passed and of the keepers' logs."""
+
+    async def main() -> list[Row]:
+        world = World(day, Sockets(), day.terms.slack, lambda name: "127.0.0.1:0", FAULT_SLACK)
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                await world.open(nursery)
+                rig = OrderRig(day, folder, world, most, in_region)
+                await rig.open(nursery)
+                try:
+                    await rig.begin()
+                    rig.callers()
+                    await trio.sleep(day.terms.settle / 1e9)
+                    async with trio.open_nursery() as playing:
+                        playing.start_soon(world.play)
+                        playing.start_soon(script, rig)
+                finally:
+                    with trio.CancelScope(shield=True):
+                        await rig.end()
+                scope.cancel()
+        return world.tap.rows
+
+    return trio.run(main)
--- a/valverouter/emulator/rollouts.py
+++ b/valverouter/emulator/rollouts.py
@@ -206,7 +206,6 @@
         one.keeping = Keeping(one.facts, memory)
         # Its program may have outlived it: then it is taken over.
         one.keeping.resumes(bool(one.process))
-        one.keeping.running = one.version
         if self.plant == "again":
             memory.turns.clear()
         self.at(self.now, self._tick_keeper, one, one.life)
--- a/valverouter/fleet/tool.py
+++ b/valverouter/fleet/tool.py
@@ -4,16 +4,24 @@
 
 import random
 from collections.abc import Iterable
+from typing import TypeVar
 
+import msgspec
 import trio
 
 from valverouter.edge.surroundings import Datagrams
 from valverouter.fleet.asking import Heard, Query, Shown
+from valverouter.fleet.post import Post
 from valverouter.fleet.sealing import Opener, Seal
+from valverouter.fleet.words import Asks, Tells
+from valverouter.rollout.orders import Command
+from valverouter.terms.rollout import ToolTerms
 
 TRIES = 3
 TRY_S = 0.4
 
+Answer = TypeVar("Answer")
+
 
 class Asker:
     """Holds the fleet's key and is no member of it."""
@@ -60,3 +68,36 @@
             one.take(message)
             if one.missing is not None:
                 self._put(one, message.nonce, one.missing)
+
+
+class CouncilAsker:
+    """A tool that speaks to the council: it asks all seats until the one who leads has answered.
+
+    What it asks has an id of its own, so that asking again does nothing twice; the tool may be killed at any
+    moment, and another takes the order up by its id.
+    """
+
+    def __init__(self, terms: ToolTerms, socket: Datagrams, chance: random.Random) -> None:
+        self._terms = terms
+        self._post = Post(socket, terms.keys, "", chance.getrandbits(63))
+        self._nonce = chance.getrandbits(62)
+
+    async def ask(
+        self, what: str, command: Command | None, kind: type[Answer], within: float
+    ) -> Answer | None:
+        """The leader's answer; None where none came within so many seconds: what became of a command is
+        unknown then, and asking again tells."""
+        self._nonce += 1
+        asks = Asks(self._nonce, what, command)
+        with trio.move_on_after(within):
+            while True:
+                for address in self._terms.council.values():
+                    self._post.send(address, asks)
+                with trio.move_on_after(TRY_S):
+                    while True:
+                        await self._post.socket.readable()
+                        while (came := self._post.take()) is not None:
+                            word = came[0]
+                            if isinstance(word, Tells) and word.leads and word.nonce == self._nonce:
+                                return msgspec.msgpack.decode(word.body, type=kind)
+        return None
--- a/valverouter/fleet/words.py
+++ b/valverouter/fleet/words.py
@@ -18,11 +18,10 @@
 
 
 class Here(Struct, frozen=True, array_like=True, tag="h"):
-    """A seat with its disk; `member`: as far as it knows itself."""
+    """A seat with its disk."""
 
     name: str
     disk: int
-    member: bool
 
 
 class Reported(Struct, frozen=True, array_like=True, tag="r"):
@@ -34,8 +33,9 @@
 
 
 class Worded(Struct, frozen=True, array_like=True, tag="w"):
-    """To a keeper; `life`: of the seat that says it."""
+    """To a keeper, of its instance `name`; `life`: of the seat that says it."""
 
+    seat: str
     name: str
     life: int
     stamp: int
--- a/valverouter/rollout/keeping.py
+++ b/valverouter/rollout/keeping.py
@@ -43,10 +43,14 @@
 
 
 class Memory(Struct):
-    """What the keeper's disk holds. `version`, `up`: what its instance should be."""
+    """What the keeper's disk holds. `version`, `up`: what its instance should be. `process`: what was last
+    started, in the carrier's words, and `running`, by which version: a keeper that was killed takes its
+    program over again."""
 
     version: str
     up: bool = True
+    process: str = ""
+    running: str = ""
     turns: list[Turn] = []
 
     @property
@@ -173,11 +177,14 @@
         """After the keeper's own restart: a turn that was begun and not ended goes on from its beginning, its
         program being stopped if it still runs. It is the same turn, and it is told only once as done."""
         self.runs = runs
+        self.running = self.memory.running
         self._must_stop = runs and self._open
 
     # What happened
 
-    def started(self, now: int, version: str) -> None:
+    def started(self, now: int, version: str, process: str = "") -> None:
+        self.memory.process, self.memory.running = process, version
+        self._unsaved = True
         self.runs, self.running, self._began_at = True, version, now
         self._stopping = False
         self.counts = Counts()
--- /dev/null
+++ b/valverouter/rollout/shown.py
@@ -0,0 +1,121 @@
+"""The agreed book as a tool is shown it: who is out and by what, orders with their progress, and what is
+waited for."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from valverouter.rollout.orders import Book, Phase
+from valverouter.rollout.seat import Seat
+
+
+class Unit(Struct, frozen=True):
+    """`version`: as its keeper told it last; `wanted`: as agreed. `heard_ms`: since its last report, -1:
+    never by this leader."""
+
+    name: str
+    sort: str
+    region: str
+    version: str
+    wanted: str
+    state: str
+    number: int = 0
+    order: str = ""
+    heard_ms: int = -1
+    ends: int = 0
+    versions: tuple[str, ...] = ()
+
+
+class Member(Struct, frozen=True):
+    name: str
+    step: str
+    number: int
+    former: str
+    why: str
+
+
+class Order(Struct, frozen=True):
+    id: str
+    kind: str
+    version: str
+    at: int
+    by: str
+    phase: str
+    wave: int
+    waves: tuple[tuple[str, ...], ...]
+    result: str
+    why: str
+    members: tuple[Member, ...]
+
+
+class Shown(Struct, frozen=True):
+    """`pairs`, `least`: of a release's evidence under way, how many were looked at and are wanted."""
+
+    seat: str
+    term: int
+    members: tuple[str, ...]
+    halted: str
+    units: tuple[Unit, ...]
+    orders: tuple[Order, ...]
+    pairs: int = 0
+    least: int = 0
+
+
+def shown(book: Book, seat: Seat, now: int) -> Shown:
+    """All of it."""
+    pairs, least = seat.conductor.pairs if seat.conductor else (0, 0)
+    going = book.going
+    watching = going is not None and going.phase in (Phase.WATCHING, Phase.GOING)
+    return Shown(
+        seat=seat.name,
+        term=seat.councillor.durable.term,
+        members=tuple(name for name, _ in seat.councillor.members.disks),
+        halted=book.register.halted,
+        units=tuple(_unit(book, seat, now, name) for name in sorted(book.register.units)),
+        orders=tuple(
+            Order(
+                one.id,
+                one.kind.value,
+                one.version,
+                one.at,
+                one.by,
+                one.phase.value,
+                one.wave,
+                tuple(tuple(wave) for wave in one.waves),
+                one.result,
+                one.why,
+                tuple(
+                    Member(name, member.step.value, member.number, member.former, member.why)
+                    for name, member in one.members.items()
+                ),
+            )
+            for one in book.orders.values()
+        ),
+        pairs=pairs if watching else 0,
+        least=least if watching else 0,
+    )
+
+
+def _unit(book: Book, seat: Seat, now: int, name: str) -> Unit:
+    unit, want = book.register.units[name], book.wants.get(name)
+    seen = seat.conductor.watch.seen.get(name) if seat.conductor else None
+    state, number, order = "in", 0, ""
+    if name in book.register.out:
+        held = book.register.out[name]
+        state = "out" if held else "away"
+        number, order = (held.number, held.order) if held else (0, "")
+        if held and want is not None and not want.up:
+            state = "drained"
+    return Unit(
+        name,
+        unit.sort.value,
+        unit.region,
+        seen.report.version if seen else "",
+        want.version if want else "",
+        state,
+        number,
+        order,
+        (now - seen.at) // 1_000_000 if seen else -1,
+        seen.report.ends if seen else 0,
+        book.versions.get(name, ()),
+    )
--- a/valverouter/signalling/tap.py
+++ b/valverouter/signalling/tap.py
@@ -141,7 +141,69 @@
     every: int
 
 
-Row = Passed | Told | Lost | Began | Fault | Placed | Opened | Terms | Ran | Found | Viewed | Settles
+class Limited(Struct, tag_field="row", tag="limited", frozen=True):
+    """How many edge proxies may be out by orders at once, in all and in a region."""
+
+    seq: int
+    at: int
+    most: int
+    in_region: int
+
+
+class Turned(Struct, tag_field="row", tag="turned", frozen=True):
+    """From a keeper's own log: a turn was begun (`outcome` empty) or is over. `up`: whether its instance is
+    to run after it."""
+
+    seq: int
+    at: int
+    edge: str
+    number: int
+    step: int
+    up: bool
+    outcome: str = ""
+
+
+class Runs(Struct, tag_field="row", tag="runs", frozen=True):
+    """From a keeper's own log: its program was started by a version, or has ended (empty)."""
+
+    seq: int
+    at: int
+    edge: str
+    version: str
+
+
+class Ordered(Struct, tag_field="row", tag="ordered", frozen=True):
+    """What the fleet tells of an order in the end: by instance its step, the permit's number and the version
+    that it had before."""
+
+    seq: int
+    at: int
+    order: str
+    kind: str
+    version: str
+    phase: str
+    result: str
+    members: dict[str, tuple[str, int, str]]
+
+
+Row = (
+    Passed
+    | Told
+    | Lost
+    | Began
+    | Fault
+    | Placed
+    | Opened
+    | Terms
+    | Ran
+    | Found
+    | Viewed
+    | Settles
+    | Limited
+    | Turned
+    | Runs
+    | Ordered
+)
 
 
 class Tap:
--- a/valverouter/terms/between.py
+++ b/valverouter/terms/between.py
@@ -52,12 +52,14 @@
         return None
     for key in ("listen", "advertise"):
         if text := getattr(told, key):
-            _address(ini, key, text, told_port=key == "advertise")
+            told_address(ini, "between", key, text, told_port=key == "advertise")
     for seed in told.seeds:
-        _address(ini, "seeds", seed, told_port=True)
+        told_address(ini, "between", "seeds", seed, told_port=True)
     if len(region.encode()) > REGION_MOST:
         ini.flaw("edge", "region", f"longer than {REGION_MOST} bytes, which [between] can't tell of")
-    keys = [_key(ini, name, path) for name, path in (("key", told.key), ("also", told.also)) if path]
+    keys = [
+        key_at(ini, "between", name, path) for name, path in (("key", told.key), ("also", told.also)) if path
+    ]
     return Between(
         told.listen,
         tuple(key for key in keys if key),
@@ -68,7 +70,7 @@
     )
 
 
-def _address(ini: IniFile, key: str, text: str, told_port: bool) -> None:
+def told_address(ini: IniFile, section: str, key: str, text: str, told_port: bool) -> None:
     """A name would have to be looked up while datagrams wait, so addresses are numbers."""
     host, _, port = text.rpartition(":")
     try:
@@ -76,12 +78,12 @@
     except ValueError:
         there = None
     if there is None or not is_address(text):
-        ini.flaw("between", key, f"{text!r} is no IP:PORT")
+        ini.flaw(section, key, f"{text!r} is no IP:PORT")
     elif told_port and (int(port) == 0 or there.is_unspecified):
-        ini.flaw("between", key, f"{text!r} is nothing that others can send to")
+        ini.flaw(section, key, f"{text!r} is nothing that others can send to")
 
 
-def _key(ini: IniFile, name: str, path: str) -> bytes:
+def key_at(ini: IniFile, section: str, name: str, path: str) -> bytes:
     """32 bytes made of a key file; empty where it is flawed. Its bytes stand in no message."""
     file = ini.folder / path
     try:
@@ -89,14 +91,14 @@
             data = open_file.read(KEY_MOST + 1).strip()
             mode = file.stat().st_mode
     except OSError as error:
-        ini.flaw("between", name, f"{path}: {error.strerror or 'can not be read'}")
+        ini.flaw(section, name, f"{path}: {error.strerror or 'can not be read'}")
         return b""
     if mode & 0o007:
-        ini.flaw("between", name, f"{path}: may be used by all (mode {mode & 0o777:o}); 600 or 640 is wanted")
+        ini.flaw(section, name, f"{path}: may be used by all (mode {mode & 0o777:o}); 600 or 640 is wanted")
     elif len(data) < KEY_LEAST:
-        ini.flaw("between", name, f"{path}: {len(data)} bytes are too short for a key; {KEY_LEAST} or more")
+        ini.flaw(section, name, f"{path}: {len(data)} bytes are too short for a key; {KEY_LEAST} or more")
     elif len(data) > KEY_MOST:
-        ini.flaw("between", name, f"{path}: longer than {KEY_MOST} bytes, so it is no key")
+        ini.flaw(section, name, f"{path}: longer than {KEY_MOST} bytes, so it is no key")
     else:
         return key_of(data)
     return b""
