Servers go out under permits that the list service asks for, by keepers of their own

The list protocol gains leave, returns and left; the service refuses a leave without a number, with a lower one than it has seen, and with one that is over. A server's keeper asks before its program goes, waits while it empties, and tells when the number is over; refused, the turn has failed and the server serves on. A server is in once it is warm.

--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -254,14 +254,14 @@
 
 def test_a_turn_is_on_disk_before_it_begins_and_begins_once() -> None:
     one = keeper()
-    assert does(one) == [Do.START]
+    assert does(one) == [Do.START, Do.SAVE]
     want = Want("v2", True, 7, 0, "r")
     assert one.wanted(0, want, True)
     assert not one.wanted(0, want, True), "told again"
     assert does(one) == [Do.SAVE, Do.STOP]
     assert (one.report().turn, one.report().outcome, one.report().runs) == ((7, 0), "", False)
     one.ended(SECOND)
-    assert does(one, SECOND) == [Do.START] and one.running == "v2"
+    assert does(one, SECOND) == [Do.START, Do.SAVE] and one.running == "v2"
     one.told(serving())
     assert one.report().outcome == "", "done is told once it is on disk"
     assert does(one, SECOND) == [Do.SAVE]
@@ -278,7 +278,7 @@
     again.resumes(runs=True)
     assert does(again) == [Do.STOP], "whether it was stopped already nobody knows"
     again.ended(SECOND)
-    assert does(again, SECOND) == [Do.START] and again.running == "v2"
+    assert does(again, SECOND) == [Do.START, Do.SAVE] and again.running == "v2"
 
 
 def test_a_keeper_that_lost_its_disk_does_not_repeat_a_turn_whose_permit_is_over() -> None:
@@ -303,7 +303,7 @@
     assert one.report().outcome == ""
     does(one, now)
     assert one.report().outcome == "failed" and "v2 ended 3 times" in one.report().why
-    assert does(one, one.due) == [Do.START], "its wait over, once more"
+    assert does(one, one.due) == [Do.START, Do.SAVE], "its wait over, once more"
     one.told(serving())
     does(one, one.due)
     assert one.report().outcome == "done"
@@ -342,7 +342,7 @@
     again = keeper(one.memory)
     assert does(again) == [], "a keeper's restart brings nobody in"
     again.wanted(0, Want("v1", True, 7, 1, "u"), True)
-    assert does(again) == [Do.SAVE, Do.START]
+    assert does(again) == [Do.SAVE, Do.START, Do.SAVE]
 
 
 def test_an_unknown_version_is_told_as_failed_and_takes_nobody_out() -> None:
--- a/valverouter/days/ordering.py
+++ b/valverouter/days/ordering.py
@@ -14,6 +14,7 @@
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from datetime import datetime
 from pathlib import Path
 
@@ -67,7 +68,9 @@
     """The processes of one course, by name: seats c0 to c2, keepers k0..., and the edge proxies e0... that
     the keepers start."""
 
-    def __init__(self, day: Day, folder: Path, world: World, most: int, in_region: int) -> None:
+    def __init__(
+        self, day: Day, folder: Path, world: World, most: int, in_region: int, servers: bool = False
+    ) -> None:
         self.day = day
         self.folder = folder.absolute()
         self.world = world
@@ -80,12 +83,19 @@
         self._fronts: dict[str, str] = {}
         self._real: dict[str, str] = {}
         self._listen: dict[str, str] = {}
+        # Of servers with a keeper: where their agents say that they run, and those that do.
+        self.servers = list(world.servers) if servers else []
+        self._control = ""
+        self._agents: dict[str, trio.abc.Stream] = {}
 
     async def open(self, nursery: trio.Nursery) -> None:
         """Files and fronts; nothing is started."""
         await nursery.start(self._paths.run)
-        keepers = [f"k{name[1:]}" for name in self.edges]
-        names = [*SEATS, *keepers, *self.edges]
+        names = [*SEATS, *map(keeper_of, (*self.edges, *self.servers)), *self.edges, *self.servers]
+        if self.servers:
+            self._control = await nursery.start(Sockets().serve, "127.0.0.1:0", self._agent)
+            self.world.list.leaves = lambda server: self.world.tell([server], "draining")
+            nursery.start_soon(self._warms)
         for name, port in zip(names, _free(len(names), socket.SOCK_DGRAM), strict=True):
             self._real[name] = f"127.0.0.1:{port}"
             self._fronts[name] = self._paths.open_front(name)
@@ -102,6 +112,9 @@
     def _write_files(self) -> None:
         most, in_region = self.limits
         limits = f"[limits edge proxies]\nmost = {most}\nin_region = {in_region}\n"
+        limits += (
+            "\n[limits servers]\nmost = 1\nin_region = 1\nleast_capacity = 0.4\n" if self.servers else ""
+        )
         for name in (*SEATS, "tool"):
             at = self._real if name == "tool" else self._fronts
             seats = ", ".join(f"{one} {at[one]}" for one in SEATS)
@@ -113,7 +126,7 @@
         seats = ", ".join(f"{one} {self._fronts[one]}" for one in SEATS)
         for place, name in enumerate(self.edges):
             self._write_edge(place, name)
-            keeper = f"k{place}"
+            keeper = keeper_of(name)
             edge = " ".join((*CLI, "edge"))
             text = f"[keeper]\nname = {name}\nlisten = {self._real[keeper]}\n"
             text += f"advertise = {self._fronts[keeper]}\nkey = fleet.key\nstore = {keeper}.store\n"
@@ -129,6 +142,47 @@
             ):
                 text += f"\n[version {version}]\ncommand = {command}\n"
             (self.folder / f"{keeper}.ini").write_text(text)
+        for name in self.servers:
+            keeper = keeper_of(name)
+            agent = (
+                f"{sys.executable} -m valverouter.days.serveragent {name} {self._control} {self._real[name]}"
+            )
+            text = f"[keeper]\nname = {name}\nsort = server\nlisten = {self._real[keeper]}\n"
+            text += f"advertise = {self._fronts[keeper]}\nkey = fleet.key\nstore = {keeper}.store\n"
+            text += f"council = {seats}\nasks = {self._real[name]}\nversion = v1\ncapacity = 0\n"
+            text += f"list_service = {self.world.list.address}\ndrain_within = 2s\nstop_within = 6s\n"
+            text += f"region = {self.day.region_of_server(self.world.numbers_of[name])}\n"
+            for version in ("v1", "v2"):
+                text += f"\n[version {version}]\ncommand = {agent} {self.folder}/fleet.key\n"
+            (self.folder / f"{keeper}.ini").write_text(text)
+
+    # Servers behind their agents
+
+    async def _agent(self, stream: trio.abc.Stream) -> None:
+        """A server runs for as long as its agent does."""
+        name, world = (await stream.receive_some(64)).decode().strip(), self.world
+        self._agents[name] = stream
+        if not world.servers[name].model.runs:
+            world.list.born[name] = world.now()
+            await world.servers[name].start()
+            world.tell([name], "in-service")
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            while await stream.receive_some(64):
+                pass
+        if self._agents.get(name) is stream:
+            del self._agents[name]
+            world.servers[name].crash()
+            world.tell([name], "gone")
+
+    async def _warms(self) -> None:
+        """Agents hear whether their servers are warm."""
+        while True:
+            await trio.sleep(0.2)
+            for name, stream in list(self._agents.items()):
+                born = self.world.list.born.get(name)
+                warm = born is None or self.world.now() - born >= self.day.fleet.warm_after
+                with suppress(trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError):
+                    await stream.send_all(b"warm\n" if warm else b"cold\n")
 
     def _write_edge(self, place: int, name: str) -> None:
         between = {
@@ -161,8 +215,8 @@
         """The council is founded, keepers start their edge proxies; returns once all are in."""
         for name in SEATS:
             self.start(name, *(["--found"] if name == SEATS[0] else []))
-        for place in range(len(self.edges)):
-            self.start(f"k{place}")
+        for name in (*self.servers, *self.edges):
+            self.start(keeper_of(name))
         with trio.fail_after(START_WITHIN_S):
             while not self._has_begun(await self.status()):
                 await trio.sleep(0.2)
@@ -171,7 +225,7 @@
         return (
             shown is not None
             and set(shown.members) == set(SEATS)
-            and len(shown.units) == len(self.edges)
+            and len(shown.units) == len(self.edges) + len(self.servers)
             and all(unit.state == "in" and unit.version for unit in shown.units)
             and all(self._listens(name) for name in self.edges)
         )
@@ -221,7 +275,7 @@
 
     def _fault(self, kind: str, name: str, seconds: float = 0.0) -> None:
         until = self.world.now() + round(seconds * 1e9) + FAULT_SLACK
-        target = f"e{name[1:]}" if name[0] == "k" else name
+        target = kept_by(name) if name[0] == "k" else name
         self.world.tap.row(Fault, until=until, kind=kind, target=target)
 
     # The tool
@@ -266,7 +320,7 @@
             if process.poll() is None:
                 process.kill()
             process.wait()
-            if name[0] == "k" and (pid := self._pid(f"e{name[1:]}")) is not None:
+            if name[0] == "k" and (pid := self._pid(kept_by(name))) is not None:
                 os.kill(pid, signal.SIGKILL)
         self._read_logs()
         for one in shown.orders if shown is not None else ():
@@ -286,9 +340,9 @@
         base = self.world.now() - round(datetime.now().timestamp() * 1e9)
         decoder = msgspec.json.Decoder(_Line)
         rows = self.world.tap.rows
-        for place, name in enumerate(self.edges):
+        for name in (*self.edges, *self.servers):
             turns: dict[tuple[int, int], bool] = {}
-            for line in (self.folder / f"k{place}.log").read_bytes().splitlines():
+            for line in (self.folder / f"{keeper_of(name)}.log").read_bytes().splitlines():
                 try:
                     said = decoder.decode(line)
                 except msgspec.DecodeError:
@@ -309,29 +363,50 @@
                     rows.append(Runs(seq, at, name, ""))
 
 
+def keeper_of(name: str) -> str:
+    return f"k{name[1:]}" if name[0] == "e" else f"k{name}"
+
+
+def kept_by(keeper: str) -> str:
+    return keeper[1:] if keeper[1] == "s" else f"e{keeper[1:]}"
+
+
 def _free(count: int, kind: socket.SocketKind) -> list[int]:
-    """Ports that are free now, all at once."""
-    held = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
+    """Ports that are free now, below those that the machine gives out by itself: one of these was given to
+    another socket between its choice and its use."""
+    chance = random.SystemRandom()
+    held: dict[int, socket.socket] = {}
     try:
-        for one in held:
-            one.bind(("127.0.0.1", 0))
-        return [int(one.getsockname()[1]) for one in held]
+        while len(held) < count:
+            one, port = socket.socket(socket.AF_INET, kind), chance.randrange(10_000, 32_000)
+            try:
+                one.bind(("127.0.0.1", port))
+                held[port] = one
+            except OSError:
+                one.close()
+        return list(held)
     finally:
-        for one in held:
+        for one in held.values():
             one.close()
 
 
 def run_orders(
-    day: Day, folder: Path, script: Callable[[OrderRig], Awaitable[None]], most: int = 2, in_region: int = 1
+    day: Day,
+    folder: Path,
+    script: Callable[[OrderRig], Awaitable[None]],
+    most: int = 2,
+    in_region: int = 1,
+    servers: bool = False,
 ) -> list[Row]:
-    """Plays the day with `script` beside its callers; the rows of what passed and of the keepers' logs."""
+    """Plays the day with `script` beside its callers; the rows of what passed and of the keepers' logs.
+    `servers`: they have keepers too."""
 
     async def main() -> list[Row]:
         world = World(day, Sockets(), day.terms.slack, lambda name: "127.0.0.1:0", FAULT_SLACK)
         with trio.CancelScope() as scope:
             async with trio.open_nursery() as nursery:
                 await world.open(nursery)
-                rig = OrderRig(day, folder, world, most, in_region)
+                rig = OrderRig(day, folder, world, most, in_region, servers)
                 await rig.open(nursery)
                 try:
                     await rig.begin()
--- a/valverouter/fleet/keeper.py
+++ b/valverouter/fleet/keeper.py
@@ -17,7 +17,7 @@
 import structlog
 import trio
 
-from valverouter.edge.surroundings import Datagrams, Surroundings
+from valverouter.edge.surroundings import READ, Datagrams, Surroundings
 from valverouter.fleet.asking import Count, Counted
 from valverouter.fleet.post import Post
 from valverouter.fleet.sealing import Opener, Seal
@@ -26,6 +26,9 @@
 from valverouter.rollout.keeping import Counts, Do, Facts, Keeping, Memory
 from valverouter.rollout.limits import Sort
 from valverouter.rollout.orders import Want
+from valverouter.signalling.framing import ProtocolError
+from valverouter.signalling.greeting import NEWEST, OLDEST, Hello, Welcome
+from valverouter.signalling.serverlist import Leave, Left, ListSession, Returns
 from valverouter.terms.rollout import KeeperTerms
 
 # Between two reports, and two questions to the instance.
@@ -34,6 +37,8 @@
 LOOK_S = 0.05
 # An instance that has not answered for so long serves nobody, as far as is known here.
 ANSWER_S = 2.0
+# Of the list service, and before it is asked again.
+LIST_ANSWERS_S, LIST_AGAIN_S = 2.0, 0.5
 
 log = structlog.get_logger()
 
@@ -235,6 +240,10 @@
                 keeping.saved()
             elif do is Do.STOP:
                 self._stop()
+            elif do in (Do.LEAVE, Do.RETURN):
+                number = keeping.memory.turns[-1].number if keeping.memory.turns else 0
+                assert self._nursery is not None
+                self._nursery.start_soon(self._asks_list, do is Do.LEAVE, number)
             else:
                 self._start()
         last = keeping.memory.turns[-1] if keeping.memory.turns else None
@@ -282,6 +291,32 @@
             self._process = None
             self.keeping.ended(self._now())
 
+    async def _asks_list(self, leaves: bool, number: int) -> None:
+        """Until the list service has answered: one that is away lets no server go."""
+        name = self._terms.name
+        asks = Leave(name, number) if leaves else Returns(name, number)
+        while (left := await self._ask_list(asks)) is None:
+            await trio.sleep(LIST_AGAIN_S)
+        self._log.info("list-answers", leaves=leaves, number=number, given=left.given, why=left.why)
+        if leaves:
+            if left.given:
+                await trio.sleep(self._terms.drain_within / 1e9)
+            self.keeping.left_list(left.given, left.why)
+
+    async def _ask_list(self, asks: Leave | Returns) -> Left | None:
+        session = ListSession(Hello((OLDEST, NEWEST), "keeper", self._terms.name))
+        with trio.move_on_after(LIST_ANSWERS_S), suppress(OSError, ProtocolError, trio.BrokenResourceError):
+            stream = await self._surroundings.connect(self._terms.list_service)
+            async with stream:
+                await stream.send_all(session.opening())
+                while data := await stream.receive_some(READ):
+                    for message in session.receive(data):
+                        if isinstance(message, Welcome):
+                            await stream.send_all(session.send(asks))
+                        elif isinstance(message, Left):
+                            return message
+        return None
+
     def _stop(self) -> None:
         self.keeping.asked_to_stop()
         process = self._process
--- a/valverouter/rollout/keeping.py
+++ b/valverouter/rollout/keeping.py
@@ -109,9 +109,13 @@
 
 
 class Do(Enum):
-    """START the program of `version`; STOP it, as SIGTERM asks; SAVE the memory, before anything else."""
+    """START the program of `version`; STOP it, as SIGTERM asks; SAVE the memory, before anything else. LEAVE:
+    ask the list for a server's drain under the turn's number, and let it empty; RETURN: tell the list that
+    the number is over."""
 
     START = "start"
+    LEAVE = "leave"
+    RETURN = "return"
     STOP = "stop"
     SAVE = "save"
 
@@ -131,6 +135,11 @@
     _unsaved: bool = False
     # The turn under way wants the program stopped first.
     _must_stop: bool = False
+    # Of a server: asked of the list, and given; and the number that the list has still to be told is over.
+    _leaving_list: bool = False
+    _left_list: bool = False
+    _refused: bool = False
+    _returns: int = 0
     _starts: int = 0
     _began_at: int = 0
     _start_at: int = 0
@@ -154,7 +163,10 @@
             return True
         self.memory.version, self.memory.up = want.version, want.up
         self._begin(Turn(want.number, want.step, want.order))
-        self._must_stop = self.runs
+        # Coming up again needs no stop of what runs as it should: a turn that was halted or refused before
+        # its program went leaves it running.
+        self._must_stop = self.runs and (want.step == 0 or self.running != want.version)
+        self._leaving_list = self._left_list = self._refused = False
         self._starts, self._start_at, self._ends_in_a_row, self.ends = 0, now, 0, 0
         return True
 
@@ -212,13 +224,27 @@
         self._began_at = now
         self.ended(now)
 
+    def left_list(self, given: bool, why: str = "") -> None:
+        """What the list said to a server's leave. Refused, the turn has failed: the server stays as it is,
+        and serves."""
+        self._leaving_list = False
+        if not self._open:
+            return
+        if given:
+            self._left_list = True
+            return
+        self._must_stop, self._refused = False, True
+        self.memory.up = True
+        self._finish("failed", f"the list refuses: {why}")
+
     def told(self, counts: Counts) -> None:
         """What the instance answers of itself."""
         if not self.runs or self._must_stop or self._stopping:
             return
         self.counts = counts
-        if self._open and self.memory.up and counts.serving and counts.ready:
+        if self._open and self.memory.up and counts.serving and counts.ready and not self._refused:
             self._finish("done")
+            self._returns = self.memory.turns[-1].number if self.facts.sort is Sort.SERVER else 0
 
     def leave(self) -> None:
         """The machine asks this keeper to go: obeyed, whatever the council says."""
@@ -230,8 +256,7 @@
         if self._unsaved:
             return Do.SAVE
         if self.runs:
-            unwanted = self._must_stop or not self.memory.up or self.leaving
-            return Do.STOP if unwanted and not self._stopping else None
+            return self._unwanted()
         if self.leaving:
             return None
         if not self.memory.up:
@@ -241,6 +266,20 @@
             return None
         return Do.START if now >= self._start_at else None
 
+    def _unwanted(self) -> Do | None:
+        """Of a program that runs: whether it is to go, and how."""
+        if self._stopping or not (self._must_stop or not self.memory.up or self.leaving):
+            if self._returns:
+                self._returns = 0
+                return Do.RETURN
+            return None
+        if self.facts.sort is Sort.SERVER and not self.leaving and not self._left_list:
+            if self._leaving_list:
+                return None
+            self._leaving_list = True
+            return Do.LEAVE
+        return Do.STOP
+
     def saved(self) -> None:
         self._unsaved = False
 
--- a/valverouter/signalling/serverlist.py
+++ b/valverouter/signalling/serverlist.py
@@ -55,18 +55,68 @@
     rows: list[Row]
 
 
+class Leave(Struct, tag_field="t", tag="leave", frozen=True):
+    """Asks that `server` be told as draining, under the permit `number`. Asked again with the same number, it
+    is answered again; one with a lower number than was seen, or that is over, is refused."""
+
+    server: Name
+    number: Count
+
+
+class Returns(Struct, tag_field="t", tag="returns", frozen=True):
+    """The permit `number` is over: `server` is in again, and no copy of that permit holds any more."""
+
+    server: Name
+    number: Count
+
+
+class Left(Struct, tag_field="t", tag="left", frozen=True, omit_defaults=True):
+    """To a Leave or a Returns."""
+
+    server: Name
+    number: Count
+    given: bool
+    why: str = ""
+
+
+ASKED = (Watch, Leave, Returns)
+
+
+class Permits:
+    """The service's memory of permits: by server the highest number seen, and the highest that is over."""
+
+    def __init__(self) -> None:
+        self._highest: dict[str, int] = {}
+        self._over: dict[str, int] = {}
+
+    def why_not(self, leave: Leave) -> str:
+        """Empty where it holds; then lower numbers are void from now on."""
+        highest, over = self._highest.get(leave.server, 0), self._over.get(leave.server, 0)
+        if not leave.number:
+            return "no permit's number was given"
+        if leave.number <= over:
+            return f"permit {leave.number} is over"
+        if leave.number < highest:
+            return f"permit {leave.number} is older than {highest}, which was seen"
+        self._highest[leave.server] = leave.number
+        return ""
+
+    def over(self, returns: Returns) -> None:
+        self._over[returns.server] = max(self._over.get(returns.server, 0), returns.number)
+
+
 class ListSession(Session):
     """One connection to the list service. The hearing side asks by Watch; answers come before or after."""
 
     def __init__(self, hello: Hello | None = None, most: int = MOST) -> None:
-        super().__init__((Watch, Snapshot, Change), hello, most)
+        super().__init__((*ASKED, Snapshot, Change, Left), hello, most)
 
     def _check_in(self, message: Any) -> None:
-        if isinstance(message, Watch) == self.asking:
+        if isinstance(message, ASKED) == self.asking:
             raise ProtocolError("out-of-state", f"{type(message).__name__} comes from the other side only")
 
     def _check_out(self, message: Any) -> None:
-        assert isinstance(message, Watch) == self.asking
+        assert isinstance(message, ASKED) == self.asking
 
 
 class Replica:
--- a/valverouter/standins/listservice.py
+++ b/valverouter/standins/listservice.py
@@ -3,13 +3,24 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
 import trio
 
 from valverouter.signalling.greeting import Hello, Welcome
-from valverouter.signalling.serverlist import Change, ListSession, Register, Row, Watch
+from valverouter.signalling.serverlist import (
+    Change,
+    Leave,
+    Left,
+    ListSession,
+    Permits,
+    Register,
+    Returns,
+    Row,
+    Watch,
+)
 from valverouter.signalling.tap import Tap, Told
 from valverouter.standins.wires import Agenda, Place, Wire
 
@@ -22,6 +33,9 @@
         self.register = Register(epoch)
         self.born: dict[str, int] = {}
         self.skips = 0
+        self.permits = Permits()
+        # What a server's leave does, beside being answered.
+        self.leaves: Callable[[str], None] = lambda server: None
         self.wires: dict[Wire, bool] = {}
         self._place = place
         self._tap = tap
@@ -55,6 +69,16 @@
             self.wires[wire] = True
             for answer in self.register.answer(message):
                 self._tell(wire, answer)
+        elif isinstance(message, Leave):
+            why = self.permits.why_not(message)
+            if not why and message.server not in self.register.rows:
+                why = f"{message.server} is not on the list"
+            if not why:
+                self.leaves(message.server)
+            wire.send(Left(message.server, message.number, not why, why))
+        elif isinstance(message, Returns):
+            self.permits.over(message)
+            wire.send(Left(message.server, message.number, True))
 
     def _tell(self, wire: Wire, word: Any, late: bool = False) -> None:
         now = self._agenda.now()
--- a/valverouter/terms/rollout.py
+++ b/valverouter/terms/rollout.py
@@ -12,7 +12,7 @@
 
 from valverouter.terms.between import key_at, told_address
 from valverouter.terms.edge import Log
-from valverouter.terms.ini import IniFile, LongSpan, Named, Positive, Share, Span, Whole, Words
+from valverouter.terms.ini import IniFile, LongSpan, Named, Positive, Share, Span, Whole, Words, is_address
 
 SECOND = 10**9
 SORTS = ("edge proxies", "servers")
@@ -84,6 +84,8 @@
     council: Words
     version: Named
     asks: str = ""
+    list_service: str = ""
+    drain_within: Span = 10 * SECOND
     sort: Annotated[str, Meta(pattern="^(edge proxy|server)$")] = "edge proxy"
     region: str = ""
     capacity: Whole = 0
@@ -101,6 +103,7 @@
 
 class KeeperTerms(Struct, frozen=True):
     """A keeper of one instance. `asks`: where its instance is asked for its counts, its [between] address.
+    `list_service` is asked for a server's drain, and `drain_within` is how long it then has to empty.
     `version`: what it starts where nothing was ordered yet. `commands`: by version. Spans in ns."""
 
     name: str
@@ -110,6 +113,8 @@
     store: Path
     council: dict[str, str]
     asks: str
+    list_service: str
+    drain_within: int
     is_server: bool
     region: str
     capacity: int
@@ -207,6 +212,8 @@
             told_address(ini, "keeper", "asks", keeper.asks, told_port=True)
         elif keeper.sort == "edge proxy":
             ini.flaw("keeper", "asks", "missing: where the edge proxy is asked, its [between] address")
+        if keeper.sort == "server" and not is_address(keeper.list_service):
+            ini.flaw("keeper", "list_service", f"{keeper.list_service!r} is no HOST:PORT")
         if keeper.version not in commands:
             ini.flaw("keeper", "version", f"there is no [version {keeper.version}]")
     ini.done()
@@ -219,6 +226,8 @@
         store=ini.folder / keeper.store,
         council=council,
         asks=keeper.asks,
+        list_service=keeper.list_service,
+        drain_within=keeper.drain_within,
         is_server=keeper.sort == "server",
         region=keeper.region,
         capacity=keeper.capacity,
