--- /dev/null
+++ b/tests/test_orders_processes.py
@@ -0,0 +1,318 @@
+"""Orders to real processes on loopback with faults between them; the check reads the keepers' logs alone.
+
+One course runs with the others; the hard cases one by one take minutes and run by
+
+    python -m pytest -m processes tests/test_orders_processes.py
+"""
+
+from __future__ import annotations
+
+import shutil
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import msgspec
+import pytest
+import trio
+
+from valverouter.audit.orders import Orders, judge_orders
+from valverouter.audit.rules import audit
+from valverouter.days.ordering import SEATS, OrderRig, run_orders
+from valverouter.rollout.shown import Shown
+from valverouter.servermodel.paths import PathFault
+from valverouter.terms.day import Day, day
+from valverouter.terms.ini import IniFile
+
+FILE = Path(__file__).parent.parent / "deploy" / "days" / "fleet-course.ini"
+Script = Callable[[OrderRig], Awaitable[None]]
+
+processes = pytest.mark.processes
+
+
+def scripted(length: int = 15, edges: int = 6, troubles: str = "") -> Day:
+    text = FILE.read_text().replace("edge_proxies = 24", f"edge_proxies = {edges}")
+    text = text.replace("edges = 8", f"edges = {edges // 3}").replace("length = 18s", f"length = {length}s")
+    return day(IniFile(text + troubles, "orders"), "orders")
+
+
+def played(tmp_path: Path, script: Script, length: int = 15, **more: object) -> Orders:
+    """The rules and the orders' own are kept, whatever the script did."""
+    troubles = str(more.pop("troubles", ""))
+    rows = run_orders(scripted(length, troubles=troubles), tmp_path, script, **more)  # type: ignore[arg-type]
+    judged, rules = judge_orders(rows), audit(rows)
+    assert judged is not None and judged.broken == (), judged
+    assert rules.kept, rules
+    return judged
+
+
+def result(shown: Shown, order: str) -> str:
+    return next(one.result for one in shown.orders if one.id == order)
+
+
+async def out(rig: OrderRig, order: str) -> Shown:
+    """Once somebody is out by the order."""
+    with trio.fail_after(20):
+        while True:
+            shown = await rig.status()
+            if shown is not None and any(unit.order == order for unit in shown.units):
+                return shown
+            await trio.sleep(0.05)
+
+
+async def leader(rig: OrderRig) -> str:
+    with trio.fail_after(20):
+        while (shown := await rig.status()) is None:
+            await trio.sleep(0.2)
+        return shown.seat
+
+
+def test_a_course_of_orders_with_faults_between_real_processes(tmp_path: Path) -> None:
+    """A restart of all while the leader of the council is killed and a keeper with it, then a release that
+    ends by itself."""
+
+    async def script(rig: OrderRig) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(rig.tool, "restart", "--all", "--id", "all")
+            await out(rig, "all")
+            seat = await leader(rig)
+            rig.kill(seat)
+            rig.kill("k2")
+            await trio.sleep(1.5)
+            rig.start(seat)
+            rig.start("k2")
+        assert result(await rig.settled(60), "all") == "done"
+        code, said = await rig.tool("release", "--all", "--to", "dies-late", "--id", "r")
+        assert code == 1 and "halted" in said
+        shown = await rig.settled(60)
+        assert {unit.version for unit in shown.units} == {"v1"}
+
+    judged = played(tmp_path, script, 30)
+    assert judged.turns >= 8 and judged.most_out <= 2
+
+
+@processes
+def test_an_order_to_all_while_three_are_in_mid_restart(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        for name in ("e0", "e2", "e4"):
+            rig.kill(name)
+        code, _ = await rig.tool("restart", "--all", "--id", "all")
+        assert code == 0 and result(await rig.settled(30), "all") == "done"
+
+    assert played(tmp_path, script, 30).turns == 6
+
+
+@processes
+def test_one_that_carries_an_order_out_and_dies_before_its_answer(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(rig.tool, "restart", "e1", "--id", "one")
+            log = rig.folder / "k1.log"
+            with trio.fail_after(20):
+                while b'"turn"' not in log.read_bytes():
+                    await trio.sleep(0.01)
+            rig.kill("k1")
+            await trio.sleep(2)
+            rig.start("k1")
+        assert result(await rig.settled(30), "one") == "done"
+
+    assert played(tmp_path, script).turns == 1
+
+
+@processes
+def test_the_tool_killed_at_each_step(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        for within in (0.2, 0.4, 0.6, 0.8, 1.2, 2.0):
+            await rig.tool("restart", "e0", "e1", "--id", "one", within=within)
+        code, _ = await rig.tool("restart", "e0", "e1", "--id", "one")
+        assert code == 0 and result(await rig.settled(30), "one") == "done"
+
+    assert played(tmp_path, script, 25).turns == 2
+
+
+@processes
+def test_two_operators_with_overlapping_sets_on_two_sides_of_a_cut(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        now = rig.world.now()
+        near, far = frozenset({"c0", "k0", "k1"}), frozenset({"c1", "c2", "k2", "k3", "k4", "k5"})
+        rig.strike(PathFault("split", now, now + 8 * 10**9, groups=(near, far)))
+        codes = {}
+
+        async def operator(order: str, *names: str) -> None:
+            codes[order] = (await rig.tool("drain", *names, "--id", order))[0]
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(operator, "a", "e3", "e0")
+            nursery.start_soon(operator, "b", "e3", "e2")
+        shown = await rig.settled(40)
+        assert sorted(codes.values()) == [0, 2], codes
+        assert sum(unit.state == "drained" for unit in shown.units) == 2
+        assert (await rig.tool("undrain", "--all"))[0] == 0
+
+    played(tmp_path, script, 40)
+
+
+@processes
+def test_the_giver_killed_and_one_stopped_for_ten_seconds_and_woken(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(rig.tool, "restart", "--all", "--id", "all")
+            await out(rig, "all")
+            nursery.start_soon(rig.stall, await leader(rig), 10.0)
+            await trio.sleep(5)
+            seat = await leader(rig)
+            rig.kill(seat)
+            await trio.sleep(1)
+            rig.start(seat)
+        assert result(await rig.settled(60), "all") == "done"
+
+    assert played(tmp_path, script, 40).turns == 6
+
+
+@processes
+def test_a_whole_region_is_refused_for_capacity(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        code, said = await rig.tool("drain", "--region", "north", "--id", "d")
+        assert code == 2 and "least capacity of north" in said
+        code, said = await rig.tool("drain", "--region", "north", "--dry-run")
+        assert code == 2
+        assert (await rig.status() or pytest.fail()).orders == ()
+
+    assert played(tmp_path, script, 10, most=4, in_region=2, least=0.5).turns == 0
+
+
+@processes
+def test_three_crashes_during_a_drain_of_the_most_allowed(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        assert (await rig.tool("drain", "e0", "e2", "--id", "d"))[0] == 0
+        for name in ("k1", "k3", "k5"):
+            rig.kill(name)
+            rig.kill(f"e{name[1:]}")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(rig.tool, "restart", "e4", "--id", "one")
+            await trio.sleep(5)
+            shown = await rig.status()
+            assert shown is not None and not any(unit.order == "one" for unit in shown.units)
+            assert sum(unit.state == "away" for unit in shown.units) == 3
+            for name in ("k1", "k3", "k5"):
+                rig.start(name)
+            await trio.sleep(4)
+            assert (await rig.tool("undrain", "--all"))[0] == 0
+        assert result(await rig.settled(40), "one") == "done"
+
+    played(tmp_path, script, 40)
+
+
+@processes
+@pytest.mark.parametrize("version", ["crashes", "dies-late", "declines", "crowds"])
+def test_a_harmful_release_is_halted_and_goes_back(tmp_path: Path, version: str) -> None:
+    async def script(rig: OrderRig) -> None:
+        code, said = await rig.tool("release", "--all", "--to", version, "--id", "r", within=90)
+        assert code == 1 and "halted" in said
+        shown = await rig.settled(60)
+        assert {unit.version for unit in shown.units} == {"v1"}
+
+    played(tmp_path, script, 50)
+
+
+@processes
+def test_a_harmless_release_on_a_day_with_a_slow_server_is_not_halted(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        code, said = await rig.tool("release", "--all", "--to", "v2", "--id", "r", within=120)
+        assert code == 0, said
+
+    slow = "\n[trouble slow]\nkind = slow\nstart = 1s\nlength = 60s\nsize = 6\non = s0\n"
+    assert played(tmp_path, script, 60, troubles=slow).ends == {"release: done": 1}
+
+
+@processes
+def test_a_cut_in_mid_wave_that_heals_after_the_halt(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(rig.tool, "release", "--all", "--to", "v2", "--id", "r")
+            await out(rig, "r")
+            now = rig.world.now()
+            cut = frozenset({"c1", "k0", "k2", "k4"})
+            rest = frozenset({"c0", "c2", "k1", "k3", "k5"})
+            rig.strike(PathFault("split", now, now + 8 * 10**9, groups=(cut, rest)))
+            await trio.sleep(1)
+            assert (await rig.tool("halt", "r"))[0] == 0
+        shown = await rig.settled(60)
+        assert result(shown, "r") == "halted" and {unit.version for unit in shown.units} == {"v1"}
+
+    played(tmp_path, script, 40)
+
+
+@processes
+def test_the_tool_the_leader_and_one_of_the_wave_die_in_a_way_back(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        await rig.tool("release", "--all", "--to", "v2", "--id", "r", within=14)
+        await rig.tool("back", "r", within=0.7)
+        await rig.tool("back", "r", "--no-wait")
+        seat = await leader(rig)
+        rig.kill(seat)
+        rig.kill("k0")
+        rig.kill("e0")
+        await trio.sleep(3)
+        rig.start(seat)
+        rig.start("k0")
+        shown = await rig.settled(60)
+        assert {unit.version for unit in shown.units} == {"v1"}
+
+    played(tmp_path, script, 45)
+
+
+@processes
+def test_a_council_member_that_lost_its_disk_and_one_put_in_its_place(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        for seat in SEATS[:2]:
+            rig.kill(seat)
+            shutil.rmtree(rig.folder / f"{seat}.store")
+            await trio.sleep(1)
+            rig.start(seat)
+            with trio.fail_after(20):
+                while (shown := await rig.status()) is None or set(shown.members) != set(SEATS):
+                    await trio.sleep(0.2)
+            # Both halves of the change have to be agreed on before another disk may go.
+            await trio.sleep(2)
+        assert (await rig.tool("restart", "e0", "--id", "one"))[0] == 0
+
+    assert played(tmp_path, script, 20).turns == 1
+
+
+@processes
+def test_an_order_repeated_later_does_nothing_again(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        for _ in range(3):
+            assert (await rig.tool("restart", "e0", "--id", "one"))[0] == 0
+            await trio.sleep(1)
+        code, said = await rig.tool("history", "one")
+        assert code == 0 and "done" in said
+
+    assert played(tmp_path, script).turns == 1
+
+
+@processes
+def test_servers_go_out_under_permits_one_by_one(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        code, said = await rig.tool("restart", "s0", "s1", "--servers", "--id", "s", within=90)
+        assert code == 0, said
+
+    rows = run_orders(msgspec.structs.replace(scripted(60)), tmp_path, script, servers=True)
+    judged, rules = judge_orders(rows), audit(rows)
+    assert judged is not None and judged.kept and judged.most_out == 1, judged
+    assert rules.kept and rules.checked[3] > 0 and rules.checked[4] > 0
+
+
+@processes
+def test_a_sigterm_of_the_machine_is_obeyed_and_counted_as_out_without_leave(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        rig._fault("leave-k1", "k1", 10)
+        rig.processes["k1"].terminate()
+        with trio.fail_after(10):
+            while (shown := await rig.status()) is None or shown.units[1].state != "away":
+                await trio.sleep(0.1)
+        rig.processes["k1"].wait()
+        rig.start("k1")
+        assert {unit.state for unit in (await rig.settled(20)).units} == {"in"}
+
+    assert played(tmp_path, script).turns == 0
--- a/valverouter/days/ordering.py
+++ b/valverouter/days/ordering.py
@@ -69,7 +69,14 @@
     the keepers start."""
 
     def __init__(
-        self, day: Day, folder: Path, world: World, most: int, in_region: int, servers: bool = False
+        self,
+        day: Day,
+        folder: Path,
+        world: World,
+        most: int,
+        in_region: int,
+        servers: bool = False,
+        least: float = 0.0,
     ) -> None:
         self.day = day
         self.folder = folder.absolute()
@@ -77,6 +84,7 @@
         self.edges = [f"e{place}" for place in range(day.fleet.edge_proxies)]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.limits = most, in_region
+        self._least = least
         self.faults: list[PathFault] = []
         self._draw = random.Random(f"{day.terms.seed}/paths").random
         self._paths = PathStandIn(Sockets().datagrams, world.now, Paths([], self._draw))
@@ -111,7 +119,9 @@
 
     def _write_files(self) -> None:
         most, in_region = self.limits
-        limits = f"[limits edge proxies]\nmost = {most}\nin_region = {in_region}\n"
+        limits = (
+            f"[limits edge proxies]\nmost = {most}\nin_region = {in_region}\nleast_capacity = {self._least}\n"
+        )
         limits += (
             "\n[limits servers]\nmost = 1\nin_region = 1\nleast_capacity = 0.4\n" if self.servers else ""
         )
@@ -137,6 +147,12 @@
                 ("v1", f"{edge} {self.folder / name}.ini"),
                 ("v2", f"{edge} {self.folder / name}.ini"),
                 ("declines", f"{edge} {self.folder / name}.declines.ini"),
+                (
+                    "crowds",
+                    f"sh -c 'touch {self.folder}/crowd.{name}; set -- {self.folder}/crowd.*; "
+                    f"[ $# -ge {max(2, round(0.3 * len(self.edges)))} ] && file=declines.ini || file=ini; "
+                    f"exec {edge} {self.folder / name}.$file'",
+                ),
                 ("crashes", f"{sys.executable} -c 'raise SystemExit(7)'"),
                 ("dies-late", f"timeout -s KILL {DIES_AFTER_S} {edge} {self.folder / name}.ini"),
             ):
@@ -397,16 +413,17 @@
     most: int = 2,
     in_region: int = 1,
     servers: bool = False,
+    least: float = 0.0,
 ) -> list[Row]:
     """Plays the day with `script` beside its callers; the rows of what passed and of the keepers' logs.
-    `servers`: they have keepers too."""
+    `servers`: they have keepers too. `least`: the share of a region's edge proxies that must stay."""
 
     async def main() -> list[Row]:
         world = World(day, Sockets(), day.terms.slack, lambda name: "127.0.0.1:0", FAULT_SLACK)
         with trio.CancelScope() as scope:
             async with trio.open_nursery() as nursery:
                 await world.open(nursery)
-                rig = OrderRig(day, folder, world, most, in_region, servers)
+                rig = OrderRig(day, folder, world, most, in_region, servers, least)
                 await rig.open(nursery)
                 try:
                     await rig.begin()
