--- /dev/null
+++ b/benchmarks/orders.py
@@ -0,0 +1,153 @@
+"""Orders under faults: real processes on loopback, one course a seed, or the same program's seats and keepers
+in simulated time.
+
+    python benchmarks/orders.py loopback --edges 24 --seeds 30
+    python benchmarks/orders.py simulated --instances 12 --seeds 10000 --jobs 8
+    python benchmarks/orders.py simulated --instances 220 --seeds 1000 --jobs 8
+    python benchmarks/orders.py releases --instances 24 --seeds 1000 --jobs 8
+
+Told are breaches (limits, once, told, back, and on loopback the five rules), how orders ended, and courses
+that did not come to rest. `releases`: harmless and harmful ones without faults, against a fixed threshold
+and a timer alone: how many were halted, and what share of all dialogs was harmed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import tempfile
+import time
+from collections import Counter
+from multiprocessing import Pool
+from pathlib import Path
+
+from valverouter.audit.orders import judge_orders
+from valverouter.audit.rules import audit
+from valverouter.days.ordercourses import OrderCourse
+from valverouter.days.ordering import run_orders
+from valverouter.edge import logs
+from valverouter.emulator.rollouts import Broken, Rollout
+from valverouter.rollout.council import SECOND
+from valverouter.rollout.limits import Limits
+from valverouter.rollout.orders import Kind, Phase, Place
+from valverouter.terms.day import Day, day
+from valverouter.terms.edge import Log
+from valverouter.terms.ini import IniFile
+
+FILE = Path(__file__).parent.parent / "deploy" / "days" / "fleet-course.ini"
+
+
+def scripted(seed: int, edges: int, length_s: float) -> Day:
+    text = FILE.read_text().replace("edge_proxies = 24", f"edge_proxies = {edges}")
+    text = text.replace("edges = 8", f"edges = {edges // 3}").replace("seed = 1\n", f"seed = {seed}\n")
+    # Dialogs go on while the orders come to rest: a release waits for its evidence.
+    text = text.replace("length = 18s", f"length = {length_s:g}s")
+    return day(IniFile(text, f"orders {seed}"), "orders")
+
+
+def loopback(told: argparse.Namespace) -> None:
+    bad = resting = 0
+    ends: Counter[str] = Counter()
+    turns = 0
+    most, here = max(2, told.edges // 6), max(1, told.edges // 12)
+    for seed in range(told.first, told.first + told.seeds):
+        course, began = OrderCourse(seed, told.length), time.monotonic()
+        script = scripted(seed, told.edges, told.length * 2)
+        with tempfile.TemporaryDirectory() as passing:
+            folder = told.logs / str(seed) if told.logs else Path(passing)
+            folder.mkdir(parents=True, exist_ok=True)
+            rows = run_orders(script, folder, course.play, most, here, servers=told.servers)
+        orders, rules = judge_orders(rows), audit(rows)
+        assert orders is not None
+        good = orders.kept and rules.kept
+        bad += not good
+        resting += course.rested
+        ends.update(orders.ends)
+        turns += orders.turns
+        line = f"seed {seed}: {course.orders} told, {course.faults} faults, {orders.turns} turns, "
+        line += f"most out {orders.most_out} of {most}, rules kept: {rules.kept}, at rest: {course.rested}, "
+        line += f"{time.monotonic() - began:.0f} s"
+        print(line if good else f"{line}; {orders.broken} {rules.breaches}", flush=True)
+    print(f"{told.seeds} courses, {bad} bad, {resting} at rest, {turns} turns; {dict(ends)}")
+
+
+def one_simulated(case: tuple[int, int, float]) -> tuple[str, dict[str, int], dict[str, int]]:
+    seed, instances, seconds = case
+    course = Rollout(seed, instances)
+    try:
+        course.course(seconds)
+        return "", course.judge(), dict(course.found)
+    except Broken as broken:
+        return f"seed {seed}: {broken}", {}, dict(course.found)
+
+
+def simulated(told: argparse.Namespace) -> None:
+    ends: Counter[str] = Counter()
+    found: Counter[str] = Counter()
+    bad = 0
+    cases = [(seed, told.instances, told.length) for seed in range(told.first, told.first + told.seeds)]
+    with Pool(told.jobs) as pool:
+        for why, ended, seen in pool.imap_unordered(one_simulated, cases, chunksize=4):
+            ends.update(ended)
+            found.update(seen)
+            if why:
+                bad += 1
+                print(why, flush=True)
+    print(f"{told.seeds} courses of {told.length:g} s at {told.instances}: {bad} broken")
+    print(f"  orders: {dict(ends)}")
+    print(f"  caused: {dict(found)}")
+
+
+RULES = ("program", "threshold", "timer")
+
+
+def one_release(case: tuple[int, int, str, str]) -> tuple[bool, float, float]:
+    """Whether it was halted, the share of dialogs harmed beyond the ordinary, and how long it took, s."""
+    seed, instances, version, rule = case
+    limits = Limits(most=max(2, instances // 6), in_region=max(1, instances // 8))
+    course = Rollout(seed, instances, limits, loss=0.0, watching=rule)
+    place = Place("r", Kind.RELEASE, tuple(sorted(course.fleet)), version)
+    course.at(10 * SECOND, course.order, place)
+    while course.now < 1_200 * SECOND:
+        course.run(course.now + SECOND)
+        leader = course.leader
+        order = leader.book.orders.get("r") if leader is not None else None
+        if order is not None and order.phase is Phase.ENDED:
+            took = course.now / SECOND - 10
+            return order.result == "halted", course.harmed / max(1, course.served), took
+    return False, course.harmed / max(1, course.served), 1_190.0
+
+
+def releases(told: argparse.Namespace) -> None:
+    with Pool(told.jobs) as pool:
+        for version, seeds in (("v2", told.seeds), ("declines", max(1, told.seeds // 5))):
+            for rule in RULES:
+                cases = [(seed, told.instances, version, rule) for seed in range(seeds)]
+                results = pool.map(one_release, cases, chunksize=4)
+                halted = sum(one[0] for one in results)
+                harmed = sum(one[1] for one in results) / len(results)
+                took = sorted(one[2] for one in results)[len(results) // 2]
+                print(
+                    f"{version} by {rule}: {halted} of {len(results)} halted, "
+                    f"{harmed:.4f} of dialogs declined, median {took:.0f} s",
+                    flush=True,
+                )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("what", choices=("loopback", "simulated", "releases"))
+    parser.add_argument("--edges", type=int, default=24)
+    parser.add_argument("--instances", type=int, default=12)
+    parser.add_argument("--seeds", type=int, default=30)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--length", type=float, default=30.0, help="seconds of orders and faults")
+    parser.add_argument("--servers", action="store_true", help="servers have keepers too")
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--logs", type=Path, help="keep the processes' files here")
+    told = parser.parse_args()
+    logs.set_up(Log(level="error"))
+    {"loopback": loopback, "simulated": simulated, "releases": releases}[told.what](told)
+
+
+if __name__ == "__main__":
+    main()
--- a/valverouter/emulator/rollouts.py
+++ b/valverouter/emulator/rollouts.py
@@ -21,12 +21,24 @@
 
 import msgspec
 
-from valverouter.rollout.conducting import Rules
+from valverouter.rollout.conducting import Conductor, Looked, Rules
 from valverouter.rollout.council import SECOND, Durable, Entry, Members, SaveEntries
-from valverouter.rollout.evidence import Rule as EvidenceRule
+from valverouter.rollout.evidence import Evidence, Rule
 from valverouter.rollout.keeping import Counts, Do, Facts, Keeping, Memory
 from valverouter.rollout.limits import Limits, Sort
-from valverouter.rollout.orders import Kind, Order, Place, Placed, Step, Stop
+from valverouter.rollout.orders import (
+    Book,
+    Command,
+    Kind,
+    Next,
+    Order,
+    Phase,
+    Place,
+    Placed,
+    Step,
+    Stop,
+    released,
+)
 from valverouter.rollout.permits import Back
 from valverouter.rollout.seat import Seat, Word
 from valverouter.servermodel.paths import PathFault, Paths
@@ -79,6 +91,58 @@
     lost_disk: bool = False
 
 
+class Threshold(Conductor):
+    """A baseline: after ten seconds, on if the released ones decline at most 1.5 times what the others do,
+    and halted if not."""
+
+    def _look(self, now: int, book: Book, order: Order) -> list[Command]:
+        released_ones, others = released(book, order)
+        if order.phase is not Phase.WATCHING:
+            return []
+        looked = self._looked
+        if looked is None or (looked.order, looked.stage) != (order.id, order.stage):
+            counts = {name: seen.report.counts for name, seen in self.watch.seen.items()}
+            self._looked = Looked(
+                order.id, order.stage, now, Evidence(("declined",), Rule(), self._draw), counts, {}, now
+            )
+            return []
+        if now - looked.began < 10 * SECOND:
+            return []
+        ours, theirs = self._share(looked, released_ones), self._share(looked, others)
+        return (
+            [Stop(order.id, f"{ours:.3f} of {theirs:.3f}")]
+            if ours > 1.5 * theirs
+            else [Next(order.id, order.wave)]
+        )
+
+    def _share(self, looked: Looked, names: list[str]) -> float:
+        bad = whole = 0
+        for name in names:
+            before, seen = looked.counts.get(name), self.watch.seen.get(name)
+            if before is not None and seen is not None and before.life == seen.report.counts.life:
+                bad += seen.report.counts.declined - before.declined
+                whole += seen.report.counts.taken - before.taken
+        return bad / whole if whole else 0.0
+
+
+class Timer(Conductor):
+    """A baseline: ten seconds after a wave the next goes."""
+
+    def _look(self, now: int, book: Book, order: Order) -> list[Command]:
+        if order.phase is not Phase.WATCHING:
+            return []
+        looked = self._looked
+        if looked is None or (looked.order, looked.stage) != (order.id, order.stage):
+            self._looked = Looked(
+                order.id, order.stage, now, Evidence(("declined",), Rule(), self._draw), {}, {}, now
+            )
+            return []
+        return [Next(order.id, order.wave)] if now - looked.began >= 10 * SECOND else []
+
+
+BASELINES: dict[str, type[Conductor]] = {"threshold": Threshold, "timer": Timer}
+
+
 class Rollout:
     """One course. `plant` takes a rule out, so that the watch is seen to find it: `again` (a keeper forgets
     what it began), `lapse` (a leader takes whoever is silent for in), `alone` (a seat counts itself as
@@ -92,13 +156,15 @@
         loss: float = 0.02,
         rules: Rules | None = None,
         plant: str = "",
+        watching: str = "program",
     ) -> None:
         self.now = 0
+        self._watching = watching
         self.chance = random.Random(f"rollout/{seed}")
         self.plant = plant
         self.limits = limits or Limits(most=max(2, instances // 6), in_region=max(1, instances // 8))
         self.rules = rules or Rules(
-            {Sort.EDGE: self.limits}, evidence=EvidenceRule(0.001, 0.05, 3.0, 150), unsettled=10 * SECOND
+            {Sort.EDGE: self.limits}, evidence=Rule(0.001, 0.05, 3.0, 150), unsettled=10 * SECOND
         )
         self.found: Counter[str] = Counter()
         self.answers: dict[str, Placed] = {}
@@ -144,6 +210,8 @@
         if one.seat is None:
             one.life += 1
             one.seat = Seat(name, one.durable, self.rules, self.chance.random, self.now)
+            if self._watching != "program":
+                one.seat.make = BASELINES[self._watching]
             self.at(self.now + TICK, self._tick_seat, one, one.life)
 
     def crash_seat(self, name: str) -> None:
--- a/valverouter/rollout/seat.py
+++ b/valverouter/rollout/seat.py
@@ -55,6 +55,8 @@
         self.applied = durable.snapshot.index if durable.snapshot else 0
         self.rules = rules
         self.conductor: Conductor | None = None
+        # What conducts; experiments put a baseline in its place.
+        self.make: type[Conductor] = Conductor
         # What was agreed on of late, for tools that asked for it: by the command's id.
         self.answers: dict[str, Answer | Placed] = {}
         self._draw = draw
@@ -160,7 +162,7 @@
             self._asked.clear()
             return
         if self.conductor is None:
-            self.conductor = Conductor(self.rules, self._draw, self._now)
+            self.conductor = self.make(self.rules, self._draw, self._now)
         confirmed = one.confirmed
         while self._asked and self._asked[0].after <= confirmed:
             self._asked.popleft().answer()
