--- /dev/null
+++ b/tests/test_orders_parts.py
@@ -0,0 +1,369 @@
+"""Parcels, the files of seats and keepers, the keeper's store, the list's permits, and the orders' check."""
+
+from __future__ import annotations
+
+import os
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from valverouter.audit.orders import judge_orders
+from valverouter.cli.__main__ import main
+from valverouter.edge.surroundings import Sockets
+from valverouter.fleet.asking import Count
+from valverouter.fleet.keeper import Running
+from valverouter.fleet.parcels import BURST, HELD_MOST, PIECE, Parcels, Piece, TooManyPiecesError
+from valverouter.fleet.post import Post
+from valverouter.fleet.sealing import MOST, Opener, Posted, Seal
+from valverouter.fleet.words import Asks, Here, Word
+from valverouter.ledger.keeperstore import KeeperStore, opened
+from valverouter.ledger.store import LedgerBusyError
+from valverouter.rollout.keeping import Counts, Do, Facts, Keeping, Memory, Turn
+from valverouter.rollout.limits import Sort
+from valverouter.rollout.orders import Want
+from valverouter.signalling.serverlist import Leave, Permits, Returns
+from valverouter.signalling.tap import Limited, Ordered, Placed, Row, Runs, Turned
+from valverouter.terms.ini import FlawedTermsError
+from valverouter.terms.rollout import load_keeper, load_seat, load_tool
+
+SECOND = 10**9
+KEY = (b"k" * 32,)
+
+# Parcels
+
+
+@given(st.binary(max_size=5 * PIECE), st.randoms())
+@settings(max_examples=50, deadline=None)
+def test_pieces_in_any_order_make_the_whole(body: bytes, chance: Any) -> None:
+    here, there = Parcels("a", 1), Parcels("b", 2)
+    pieces = here.pieces("x:1", body)
+    chance.shuffle(pieces)
+    wholes = [whole for piece in pieces if (whole := there.take(piece)) is not None]
+    assert wholes == [body]
+
+
+def test_a_long_record_comes_over_in_bursts_and_fills_its_gaps() -> None:
+    here, there = Parcels("a", 1), Parcels("b", 2)
+    body = os.urandom(3 * BURST * PIECE)
+    whole, sendings = None, 0
+    while whole is None:
+        sendings += 1
+        pieces = here.pieces("x:1", body)
+        assert len(pieces) == BURST
+        for at, piece in enumerate(pieces):
+            if (at + sendings) % 7:  # one in seven is lost
+                whole = there.take(piece) or whole
+    assert whole == body and sendings <= 9
+
+
+def test_what_is_half_there_is_bounded_and_nonsense_makes_nothing() -> None:
+    there = Parcels("b", 2)
+    for id_ in range(10 * HELD_MOST):
+        assert there.take(Piece("a", 1, id_, 0, 2, b"x")) is None
+    assert len(there._held) <= HELD_MOST
+    for at, of in ((0, 0), (2, 2), (-1, 1), (0, 10**9)):
+        assert there.take(Piece("a", 1, 1, at, of, b"x")) is None
+    with pytest.raises(TooManyPiecesError):
+        there.pieces("x:1", bytes(10**7))
+
+
+async def test_only_who_has_the_key_is_heard_between_seats_and_keepers() -> None:
+    sockets = Sockets()
+    one, two, stranger = (sockets.datagrams("127.0.0.1:0") for _ in range(3))
+    ours, theirs = Post(one, KEY, "c0", 1), Post(two, KEY, "c1", 2)
+    theirs.send(one.address, Here("c1", 7))
+    Post(stranger, (b"x" * 32,), "c1", 3).send(one.address, Here("c1", 8))
+    stranger.send(b"rubbish", one.address)
+    # Words of the view are under the same key, and are no words of the council.
+    stranger.send(Seal(KEY).seal(Count("", 9, 0, 1)), one.address)
+    heard: list[tuple[Word, str]] = []
+    with trio.move_on_after(0.3):
+        while True:
+            await one.readable()
+            while (came := ours.take()) is not None:
+                heard.append(came)
+    assert [word for word, _ in heard] == [Here("c1", 7)]
+    assert two.take() is None and stranger.take() is None, "and nobody is answered"
+    for each in (one, two, stranger):
+        each.close()
+
+
+def test_the_longest_piece_fits_a_datagram_and_a_replay_is_dropped() -> None:
+    seal = Seal(KEY)
+    data = seal.seal(Piece("n" * 60, 2**64 - 1, 2**64 - 1, 2_047, 2_048, bytes(PIECE)))
+    assert len(data) <= MOST
+    opener = Opener(Seal(KEY), Posted)
+    assert opener.open(data) is not None and opener.open(data) is None
+    assert opener.dropped["replay"] == 1
+
+
+# Files
+
+SEAT = """[seat]
+name = c0
+listen = 127.0.0.1:7000
+key = key
+store = store
+council = c0 127.0.0.1:7000, c1 127.0.0.1:7001, c2 127.0.0.1:7002
+
+[limits edge proxies]
+most = 4
+in_region = 2
+"""
+KEEPER = """[keeper]
+name = e0
+listen = 127.0.0.1:7100
+key = key
+store = store
+council = c0 127.0.0.1:7000
+asks = 127.0.0.1:7200
+version = v1
+
+[version v1]
+command = true --yes
+"""
+
+
+def written(tmp_path: Path, text: str) -> Path:
+    key = tmp_path / "key"
+    key.write_bytes(b"s" * 40)
+    key.chmod(0o600)
+    file = tmp_path / "file.ini"
+    file.write_text(text)
+    return file
+
+
+def test_sound_files_of_a_seat_a_keeper_and_a_tool(tmp_path: Path) -> None:
+    seat = load_seat(written(tmp_path, SEAT))
+    assert seat.limits["edge proxies"].most == 4 and list(seat.council) == ["c0", "c1", "c2"]
+    assert load_tool(tmp_path / "file.ini").council == seat.council
+    keeper = load_keeper(written(tmp_path, KEEPER))
+    assert keeper.commands == {"v1": ("true", "--yes")} and not keeper.is_server
+    assert load_tool(tmp_path / "file.ini").keys == keeper.keys
+
+
+@pytest.mark.parametrize(
+    ("text", "old", "new", "said"),
+    [
+        (SEAT, "in_region = 2", "in_region = 5", "5 in a region are more than the 4 in all"),
+        (SEAT, "most = 4", "most = 0", "most"),
+        (SEAT, "most = 4", "most = 4\nregions = north 9", "9 of north are more than the 4 in all"),
+        (SEAT, "most = 4", "most = 4\nregions = north", "is not a region and how many"),
+        (SEAT, "most = 4", "most = 4\nleast_capacity = 1", "a least of 1 or more could never be met"),
+        (SEAT, ", c2 127.0.0.1:7002", "", "2 seats; wanted are 3 or 5"),
+        (SEAT, "c1 127.0.0.1:7001", "c1", "is not a seat and its address"),
+        (SEAT, "c1 127.0.0.1:7001", "c0 127.0.0.1:7001", "c0 is named twice"),
+        (SEAT, "name = c0", "name = c9", "c9 itself is not in it"),
+        (SEAT, "limits edge proxies", "limits edges", "known are [limits edge proxies]"),
+        (SEAT, "key = key", "key = nokey", "nokey: No such file"),
+        (KEEPER, "command = true", "command = no-such-program", "there is no program 'no-such-program'"),
+        (KEEPER, "command = true", "command = 'open", "No closing quotation"),
+        (KEEPER, "version = v1", "version = v2", "there is no [version v2]"),
+        (KEEPER, "asks = 127.0.0.1:7200\n", "", "where the edge proxy is asked"),
+        (KEEPER, "asks = 127.0.0.1:7200", "sort = server", "is no HOST:PORT"),
+        (KEEPER, "listen = 127.0.0.1:7100", "listen = somewhere", "is no IP:PORT"),
+    ],
+)
+def test_a_flawed_file_is_refused_with_its_line(
+    tmp_path: Path, text: str, old: str, new: str, said: str
+) -> None:
+    assert old in text
+    file = written(tmp_path, text.replace(old, new))
+    with pytest.raises(FlawedTermsError) as caught:
+        (load_seat if text is SEAT else load_keeper)(file)
+    (line,) = [line for line in str(caught.value).splitlines() if said in line]
+    assert line.startswith(f"{file}:")
+
+
+def test_a_tool_tells_a_file_that_reaches_nobody_and_a_council_that_is_away(tmp_path: Path) -> None:
+    file = written(tmp_path, "[edge]\nname = e0\n")
+    with pytest.raises(FlawedTermsError, match=r"neither a \[seat\] nor a \[keeper\]"):
+        load_tool(file)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr("valverouter.cli.ordering.WITHIN_S", 0.2)
+        done = CliRunner().invoke(main, ["fleet", "status", str(written(tmp_path, KEEPER))])
+    assert done.exit_code == 3
+
+
+@pytest.mark.parametrize("what", ["council", "keeper"])
+def test_an_address_in_use_ends_the_start_with_3(tmp_path: Path, what: str) -> None:
+    taken = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    taken.bind(("127.0.0.1", 0))
+    text = SEAT if what == "council" else KEEPER
+    listen = text[text.index("listen") :].splitlines()[0]
+    file = written(tmp_path, text.replace(listen, f"listen = 127.0.0.1:{taken.getsockname()[1]}"))
+    done = subprocess.run(
+        [sys.executable, "-m", "valverouter.cli", "fleet", what, str(file)],
+        capture_output=True,
+        timeout=20,
+        check=False,
+    )
+    taken.close()
+    assert done.returncode == 3 and b"in use" in done.stderr, done.stderr
+
+
+# The keeper's store and its program
+
+
+def test_a_keeper_s_memory_is_kept_whole_and_a_damaged_one_is_set_aside(tmp_path: Path) -> None:
+    path = tmp_path / "store"
+    memory = Memory("v2", False, process="12 34", running="v2", turns=[Turn(7, 0, "r", "done")])
+    store, found, aside = opened(path)
+    assert (found, aside) == (None, "")
+    store.save(memory)
+    with pytest.raises(LedgerBusyError):
+        KeeperStore(path)
+    store.close()
+    store, found, aside = opened(path)
+    assert found == memory and not aside
+    store.close()
+    data = (path / "data.mdb").read_bytes()
+    (path / "data.mdb").write_bytes(data.replace(b"12 34", b"12 35"))
+    store, found, aside = opened(path)
+    assert found is None and "damaged" in aside
+    store.close()
+
+
+async def test_a_program_is_known_again_by_its_number_and_its_birth() -> None:
+    child = subprocess.Popen([sys.executable, "-c", "import time; time.sleep(60)"])
+    first = Running(child.pid)
+    again = Running.again(first.mark)
+    assert again is not None and again.pid == child.pid
+    assert Running.again(f"{child.pid} 1") is None, "another process with its number"
+    assert Running.again("") is None and Running.again("x y") is None
+    child.kill()
+    with trio.fail_after(5):
+        await again.wait()
+    assert Running.again(first.mark) is None, "ended, though nobody has heard of it yet"
+    child.wait()
+    first.close()
+    again.close()
+
+
+# Servers
+
+
+def test_the_list_refuses_a_leave_without_a_current_number() -> None:
+    permits = Permits()
+    assert permits.why_not(Leave("s0", 0)) == "no permit's number was given"
+    assert permits.why_not(Leave("s0", 7)) == "" == permits.why_not(Leave("s0", 7))
+    assert "older than 7" in permits.why_not(Leave("s0", 6))
+    assert permits.why_not(Leave("s1", 6)) == "", "each server has its own"
+    permits.over(Returns("s0", 7))
+    assert permits.why_not(Leave("s0", 7)) == "permit 7 is over"
+    permits.over(Returns("s0", 3))
+    assert permits.why_not(Leave("s0", 8)) == ""
+
+
+def server() -> Keeping:
+    one = Keeping(Facts("s0", Sort.SERVER, versions=("v1", "v2")), Memory("v1"))
+    assert one.act(0) is Do.START
+    one.started(0, "v1")
+    one.saved()
+    one.wanted(0, Want("v2", True, 7, 0, "r"), True)
+    assert one.act(0) is Do.SAVE
+    one.saved()
+    return one
+
+
+def test_a_server_s_program_goes_once_the_list_has_let_it() -> None:
+    one = server()
+    assert one.act(0) is Do.LEAVE and one.act(0) is None, "asked once, and waited for"
+    one.told(Counts(1, True, True))
+    assert one.report().outcome == "", "it serves until it goes, and that is not the turn done"
+    one.left_list(True)
+    assert one.act(0) is Do.STOP
+    one.asked_to_stop()
+    one.ended(0)
+    assert one.act(0) is Do.START
+    one.started(0, "v2")
+    one.saved()
+    one.told(Counts(2, True, True))
+    one.saved()
+    assert one.report().outcome == "done"
+    assert one.act(0) is Do.RETURN and one.act(0) is None
+
+
+def test_a_server_that_the_list_does_not_let_go_serves_on_and_its_turn_has_failed() -> None:
+    one = server()
+    assert one.act(0) is Do.LEAVE
+    one.left_list(False, "permit 7 is over")
+    assert one.act(0) is Do.SAVE
+    one.saved()
+    one.told(Counts(1, True, True))
+    assert one.act(0) is None and one.runs
+    assert (one.report().outcome, one.report().why) == ("failed", "the list refuses: permit 7 is over")
+    one.wanted(0, Want("v1", True, 7, 1, "r"), True)
+    one.saved()
+    one.told(Counts(1, True, True))
+    one.saved()
+    assert one.report().outcome == "done", "brought back, it had never gone"
+
+
+def test_a_machine_s_wish_waits_for_no_list() -> None:
+    one = server()
+    assert one.act(0) is Do.LEAVE
+    one.leave()
+    assert one.act(0) is Do.STOP
+
+
+# The check of a day's orders
+
+
+def rows(*told: Row) -> list[Row]:
+    head: list[Row] = [Limited(0, 0, 1, 1), Placed(0, 0, "e0", "north"), Placed(0, 0, "e1", "south")]
+    return [*head, *told]
+
+
+def turned(at: int, edge: str, number: int, outcome: str = "", up: bool = True, step: int = 0) -> Turned:
+    return Turned(at, at, edge, number, step, up, outcome)
+
+
+def test_the_check_finds_each_breach_and_nothing_in_a_sound_record() -> None:
+    sound = rows(
+        Runs(1, 1, "e0", "v1"),
+        turned(2, "e0", 7),
+        Runs(3, 3, "e0", "v2"),
+        turned(4, "e0", 7, "done"),
+        turned(5, "e1", 9),
+        turned(6, "e1", 9, "done"),
+        Ordered(9, 9, "r", "release", "v2", "ended", "done", {"e0": ("done", 7, "v1")}),
+    )
+    judged = judge_orders(sound)
+    assert judged is not None and judged.kept and judged.turns == 2 and judged.most_out == 1
+    assert judge_orders([]) is None
+    for bad, word in (
+        (rows(turned(1, "e0", 7), turned(2, "e1", 9)), "limits"),
+        (rows(turned(1, "e0", 7), turned(2, "e0", 7, "done"), turned(3, "e0", 7)), "once"),
+        (rows(Ordered(9, 9, "r", "restart", "", "ended", "done", {"e0": ("done", 7, "v1")})), "told"),
+        (
+            rows(
+                Runs(1, 1, "e0", "v2"),
+                Ordered(9, 9, "r", "release", "v2", "ended", "halted", {"e0": ("out", 7, "v1")}),
+            ),
+            "back",
+        ),
+    ):
+        judged = judge_orders(bad)
+        assert judged is not None and any(one.startswith(word) for one in judged.broken), (word, judged)
+
+
+def test_a_drained_one_stays_out_in_the_check() -> None:
+    judged = judge_orders(
+        rows(turned(1, "e0", 7, up=False), turned(2, "e0", 7, "done", up=False), turned(3, "e1", 9))
+    )
+    assert judged is not None and not judged.kept
+
+
+def test_a_tool_s_words_are_read_as_they_were_written() -> None:
+    asks = Asks(3, "show")
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(asks), type=Word) == asks
