A council founded anew gives no permit's number again, and takes over who was drained

Permits' numbers are places in the record: with the record lost for good they would have begun at 1 again, below what keepers and the list service have seen, and every order would have been void. Keepers tell the highest turn that they began; the book counts on from there.

--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -211,6 +211,24 @@
     assert waves[1][0] not in record.book.register.units
 
 
+def test_a_council_founded_anew_gives_no_number_again_and_takes_the_drained_over() -> None:
+    record = Record()
+    record.number = 3  # it is young, and keepers have seen higher numbers
+    record.says(Retire("e0"))
+    record.says(Retire("e1"))
+    units = (Unit("e0", Sort.EDGE, "north", 100), Unit("e1", Sort.EDGE, "south", 100))
+    record.says(Enrol(units))
+    record.says(Runs("e0", "v2", ("v1", "v2"), 900, 0, True))
+    record.says(Runs("e1", "v1", ("v1", "v2"), 950, 0, False))
+    assert record.book.wants["e0"] == Want("v2", True, 900, 0)
+    record.place("u", Kind.UNDRAIN, "e1")
+    assert record.book.wants["e1"] == Want("v1", True, 950, 1, "u")
+    record.says(Back("e1", 950))
+    assert record.book.orders["u"].result == "done"
+    record.place("a", Kind.RESTART, "e0")
+    assert record.leave("a", "e0") > 950
+
+
 def test_a_halt_of_the_fleet_takes_no_orders() -> None:
     record = Record()
     record.says(Halt("by hand"))
--- a/valverouter/rollout/conducting.py
+++ b/valverouter/rollout/conducting.py
@@ -114,7 +114,8 @@
             if unit != held:
                 commands.append(Enrol((unit,)))
             if name not in book.wants or book.versions.get(name) != facts.versions:
-                commands.append(Runs(name, seen.report.version, facts.versions))
+                told = seen.report
+                commands.append(Runs(name, told.version, facts.versions, told.number, told.step, told.up))
         return commands
 
     def _presence(self, now: int, book: Book) -> list[Command]:
--- a/valverouter/rollout/keeping.py
+++ b/valverouter/rollout/keeping.py
@@ -101,6 +101,8 @@
     ends: int = 0
     # The machine has asked the keeper to go.
     leaving: bool = False
+    # Whether it is to run, by that turn.
+    up: bool = True
     counts: Counts = Counts()
 
     @property
@@ -306,5 +308,6 @@
             why=last.why,
             ends=self.ends,
             leaving=self.leaving,
+            up=self.memory.up,
             counts=self.counts,
         )
--- a/valverouter/rollout/orders.py
+++ b/valverouter/rollout/orders.py
@@ -106,11 +106,15 @@
 
 
 class Runs(Struct, frozen=True, tag=True):
-    """An instance tells which version it runs, and which its keeper can start."""
+    """An instance tells which version it runs, and which its keeper can start; the highest turn that its
+    keeper has begun, and whether it is to be up by that."""
 
     name: str
     version: str
     versions: tuple[str, ...]
+    number: int = 0
+    step: int = 0
+    up: bool = True
 
 
 class Retire(Struct, frozen=True, tag=True):
@@ -210,9 +214,13 @@
     wants: dict[str, Want] = field(default_factory=dict)
     versions: dict[str, tuple[str, ...]] = field(default_factory=dict)
     orders: dict[str, Order] = field(default_factory=dict)
+    # Permits' numbers are places in the record and this: a council that was founded anew, its former record
+    # lost, must not give a number again that a keeper or the list has seen.
+    base: int = 0
 
-    def apply(self, number: int, command: Command) -> Answer | Placed | None:
-        """The command at place `number` of the record."""
+    def apply(self, place: int, command: Command) -> Answer | Placed | None:
+        """The command at a place of the record."""
+        number = place + self.base
         match command:
             case Place():
                 return self._place(command)
@@ -226,9 +234,8 @@
                 self._next(order, wave)
             case Stop(order, why, back):
                 self._stop(order, why, back)
-            case Runs(name, version, versions):
-                self.versions[name] = versions
-                self.wants.setdefault(name, Want(version))
+            case Runs():
+                self._runs(number, command)
             case Retire(name):
                 self._retire(name)
             case Away() | Enrol() | Halt():
@@ -242,8 +249,19 @@
             dict(self.wants),
             dict(self.versions),
             {name: order.copy() for name, order in self.orders.items()},
+            self.base,
         )
 
+    def _runs(self, number: int, told: Runs) -> None:
+        self.base += max(0, told.number - number)
+        self.versions[told.name] = told.versions
+        if told.name in self.wants:
+            return
+        self.wants[told.name] = Want(told.version, told.up, told.number, told.step)
+        if not told.up and told.number:
+            # Drained by a council that is no more: it stays so, and can be brought back.
+            self.register.out[told.name] = Permit(told.number, told.name, "")
+
     # What is asked of it
 
     @property
