--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -169,7 +169,7 @@
 SIZES |= {"give_up": 0.1, "answer_lost": 0.5}
 KINDS = [
     *("burst", "crash", "deploy", "slow", "ageing", "hang", "origin_slow", "reconnect", "hot_key", "give_up"),
-    *("answer_lost", "balancer_crash", "balancer_stall", "peer_down", "vanish"),
+    *("answer_lost", "balancer_crash", "balancer_leave", "balancer_stall", "peer_down", "vanish"),
 ]
 
 
--- a/valverouter/days/emulated.py
+++ b/valverouter/days/emulated.py
@@ -10,7 +10,7 @@
 from valverouter.emulator.fleet import Emulated, Fleet
 from valverouter.interface import CrossingRule, Deployment
 from valverouter.regions.crossing import Crossing
-from valverouter.terms.day import COMING_KINDS, Day
+from valverouter.terms.day import Day
 
 Decisions = Callable[[Deployment, int, int, CrossingRule | None], Driver]
 
@@ -42,6 +42,6 @@
     """The whole day; the same day gives the same rows every time. `sample_every`: ns between samples of what
     the edge proxies know; 0: none."""
     for name, trouble in day.troubles.items():
-        if trouble.kind in COMING_KINDS:
+        if trouble.kind == "balancer_late":
             raise ValueError(f"trouble {name}: {trouble.kind} is emulated for the view alone: fleet emulate")
     return Fleet(day, plans(day, decisions), sample_every).run()
--- a/valverouter/emulator/edges.py
+++ b/valverouter/emulator/edges.py
@@ -148,13 +148,15 @@
         self._life = 0
         # What a former self left on record; taken over by the next start.
         self._left: list[_Open] = []
+        # Asked to end: it takes no more dialogs, and gives those here their answers.
+        self.leaves = False
         self._pace = Pace()
 
     def start(self, rows: Sequence[tuple[ServerEntry, int, int | None]]) -> None:
         """A fresh process that hears the whole list at once; links come up as they connect."""
         now = self._sim.now()
         plan = self.plan
-        self.runs = True
+        self.runs, self.leaves = True, False
         self._life += 1
         self._dialogs: dict[str, _Open] = {}
         self._links: dict[str, _Link] = {}
@@ -266,6 +268,11 @@
         elif one.need is Need.GO_ON:
             self._goes_on(one)
 
+    @property
+    def owes(self) -> bool:
+        """Whether a dialog still waits for its answer."""
+        return any(not one.stands for one in self._dialogs.values())
+
     def kill(self) -> None:
         """The process ends: its callers and servers see their connections break."""
         self.runs = False
@@ -398,6 +405,10 @@
 
     def take(self, asked: Asked) -> None:
         now, plan = self._sim.now(), self.plan
+        if self.leaves:
+            if self.caller is not None:
+                self.caller.heard("declined", asked.dialog, plan.deployment.come_back_limit)
+            return
         self._dialogs[asked.dialog] = one = _Open(asked, now + asked.no_answer)
         left = asked.no_answer - plan.answer_margin
         if left <= 0:
--- a/valverouter/emulator/fleet.py
+++ b/valverouter/emulator/fleet.py
@@ -24,6 +24,8 @@
 # How often edge proxies without events take in what was told meanwhile, so that no report is kept for long.
 SWEEP = 2 * SECOND
 LATE = 300_000_000
+# How often edge proxies that were asked to end are looked at.
+LEAVING_LOOK = 50_000_000
 
 Process = Generator[Any, Any, None]
 
@@ -435,6 +437,24 @@
         for edge in struck:
             edge.start(self.whole())
 
+    def _balancer_leave(self, trouble: Trouble, chance: Chance) -> Process:
+        """Asked to end, and started again: each goes once it owes nobody an answer, or at its limit."""
+        struck = self._of_edges(trouble, chance)
+        for edge in struck:
+            self._fault(trouble, edge.name)
+            edge.leaves = True
+        owing, limit = struck, self.sim.now() + self.day.links.stop_within
+        while owing:
+            over = [edge for edge in owing if not edge.owes or self.sim.now() >= limit]
+            for edge in over:
+                edge.kill()
+            owing = [edge for edge in owing if edge not in over]
+            if owing:
+                yield self._wait(LEAVING_LOOK)
+        yield self._wait(trouble.length)
+        for edge in struck:
+            edge.start(self.whole())
+
     def _balancer_stall(self, trouble: Trouble, chance: Chance) -> Process:
         for edge in self._of_edges(trouble, chance):
             self._fault(trouble, edge.name)
