--- a/benchmarks/orders.py
+++ b/benchmarks/orders.py
@@ -5,25 +5,30 @@
     python benchmarks/orders.py simulated --instances 12 --seeds 10000 --jobs 8
     python benchmarks/orders.py simulated --instances 220 --seeds 1000 --jobs 8
     python benchmarks/orders.py releases --instances 24 --seeds 1000 --jobs 8
+    python benchmarks/orders.py pairs --edges 12 --seeds 5
 
 Told are breaches (limits, once, told, back, and on loopback the five rules), how orders ended, and courses
 that did not come to rest. `releases`: harmless and harmful ones without faults, against a fixed threshold
-and a timer alone: how many were halted, and what share of all dialogs was harmed.
+and a timer alone: how many were halted, and what share of all dialogs was harmed. `pairs`: service with
+council and keepers beside the edge proxies, and nothing ordered, less that without them.
 """
 
 from __future__ import annotations
 
 import argparse
+import statistics
 import tempfile
 import time
 from collections import Counter
 from multiprocessing import Pool
 from pathlib import Path
 
+from valverouter.audit.account import account, service
 from valverouter.audit.orders import judge_orders
 from valverouter.audit.rules import audit
+from valverouter.days.loopback import run_loopback
 from valverouter.days.ordercourses import OrderCourse
-from valverouter.days.ordering import run_orders
+from valverouter.days.ordering import OrderRig, run_orders
 from valverouter.edge import logs
 from valverouter.emulator.rollouts import Broken, Rollout
 from valverouter.rollout.council import SECOND
@@ -70,6 +75,28 @@
     print(f"{told.seeds} courses, {bad} bad, {resting} at rest, {turns} turns; {dict(ends)}")
 
 
+def pairs(told: argparse.Namespace) -> None:
+    differences = []
+    for seed in range(told.first, told.first + told.seeds):
+        script = scripted(seed, told.edges, told.length)
+        served = []
+        for with_them in (True, False):
+            with tempfile.TemporaryDirectory() as passing:
+                if with_them:
+                    rows = run_orders(script, Path(passing), nothing)
+                else:
+                    rows = run_loopback(script, Path(passing))
+            served.append(service(account(rows), {"booking": 1.0}))
+        differences.append(served[0] - served[1])
+        print(f"seed {seed}: {served[0]:.4f} with, {served[1]:.4f} without", flush=True)
+    mean, spread = statistics.mean(differences), statistics.stdev(differences)
+    print(f"mean {mean:+.4f}, spread of the pairs {spread:.4f}")
+
+
+async def nothing(rig: OrderRig) -> None:
+    pass
+
+
 def one_simulated(case: tuple[int, int, float]) -> tuple[str, dict[str, int], dict[str, int]]:
     seed, instances, seconds = case
     course = Rollout(seed, instances)
@@ -135,7 +162,7 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
-    parser.add_argument("what", choices=("loopback", "simulated", "releases"))
+    parser.add_argument("what", choices=("loopback", "simulated", "releases", "pairs"))
     parser.add_argument("--edges", type=int, default=24)
     parser.add_argument("--instances", type=int, default=12)
     parser.add_argument("--seeds", type=int, default=30)
@@ -146,7 +173,8 @@
     parser.add_argument("--logs", type=Path, help="keep the processes' files here")
     told = parser.parse_args()
     logs.set_up(Log(level="error"))
-    {"loopback": loopback, "simulated": simulated, "releases": releases}[told.what](told)
+    runs = {"loopback": loopback, "simulated": simulated, "releases": releases, "pairs": pairs}
+    runs[told.what](told)
 
 
 if __name__ == "__main__":
--- a/benchmarks/rolling.py
+++ b/benchmarks/rolling.py
@@ -4,8 +4,8 @@
     python benchmarks/rolling.py --edges 220 --seeds 3 --jobs 4
 
 Each day is played with and without it, the same seeds: on a calm day, at 1.3 of the load, and with two
-servers that crash in the midst. Told are dialogs lost by it (not served, or too late), as a share of the day's
-and in all, and how long it took. Edge proxies are asked to end, as SIGTERM does, and
+servers that crash in the midst. Told are dialogs lost by it (not served, or too late), as a share of
+the day's and in all, and how long it took. Edge proxies are asked to end, as SIGTERM does, and
 take 2 s to start; a wave goes once the one before is back (a second of evidence). Servers drain for 2 s, are
 back cold, and warm after 15 s: the waves wait for that, the others go on after 3 s.
 """
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -470,6 +470,29 @@
         assert one.step(at * SECOND, record.book) == []
 
 
+def test_a_release_that_holds_far_more_memory_is_halted() -> None:
+    record = Record()
+    one = conducted(record)
+    waves = record.place("r", Kind.RELEASE, *record.book.register.units, version="v2").waves
+    record.says(Back(waves[0][0], record.leave("r", waves[0][0])))
+    for more, halts in ((0, False), (40, False), (200, True)):
+        all_report(one, record, SECOND)
+        for name, seen in one.watch.seen.items():
+            held = (100 + (more if name == waves[0][0] else 0)) * 2**20
+            counts = msgspec.structs.replace(seen.report.counts, memory=held)
+            seen.report = msgspec.structs.replace(seen.report, counts=counts)
+        stops = [command for command in one.step(SECOND, record.book) if isinstance(command, Stop)]
+        assert bool(stops) is halts, more
+        assert not stops or stops[0].why == "released ones hold 300 MiB in the median, the others 100"
+
+
+def test_limits_that_no_order_could_meet_refuse_all() -> None:
+    record = Record(limits=Limits(6, 3))
+    assert (
+        record.place("a", Kind.RESTART, "e0").why == "by these limits: all 6 edge proxies may be out at once"
+    )
+
+
 # Courses
 
 
--- a/valverouter/fleet/keeper.py
+++ b/valverouter/fleet/keeper.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import structlog
 import trio
 
@@ -40,6 +41,8 @@
 # Of the list service, and before it is asked again.
 LIST_ANSWERS_S, LIST_AGAIN_S = 2.0, 0.5
 
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
 log = structlog.get_logger()
 
 
@@ -62,6 +65,14 @@
             return cls(int(pid))
         return None
 
+    @property
+    def memory(self) -> int:
+        """Bytes that it holds in memory; 0 where that can't be read."""
+        try:
+            return int(Path(f"/proc/{self.pid}/statm").read_text("ascii").split()[1]) * PAGE
+        except (OSError, IndexError, ValueError):
+            return 0
+
     def signal(self, number: signal.Signals) -> None:
         with suppress(OSError):
             signal.pidfd_send_signal(self._descriptor, number)
@@ -211,7 +222,8 @@
             answer = opener.open(came[0])
             if isinstance(answer, Counted) and answer.nonce == self._nonce:
                 self._answered_at = trio.current_time()
-                self.keeping.told(answer.counts)
+                memory = self._process.memory if self._process is not None else 0
+                self.keeping.told(msgspec.structs.replace(answer.counts, memory=memory))
         now = trio.current_time()
         if now - self._answered_at > ANSWER_S and self.keeping.counts.life:
             self.keeping.counts = Counts()
--- a/valverouter/rollout/conducting.py
+++ b/valverouter/rollout/conducting.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import statistics
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -40,7 +41,9 @@
     """Spans in ns. `silent`: without a report for so long an instance is away. `not_reached`: an order goes
     on without one that was silent so long before it went out. `ask_again`: after a refusal. `unsettled`: so
     long may a view be unsettled, in a wave, until the order is halted. `span`: of evidence. `ends`: ends of
-    released programs that nobody asked for, at which a release is halted, if the others have fewer."""
+    released programs that nobody asked for, at which a release is halted, if the others have fewer.
+    `memory`: so many times what the others hold in the median, and at least `memory_least` bytes more, halts
+    a release; those released are the younger ones, which hold less, not more."""
 
     limits: Mapping[Sort, Limits]
     silent: int = 4 * SECOND
@@ -50,6 +53,8 @@
     span: int = SECOND
     watch_least: int = 5 * SECOND
     ends: int = 2
+    memory: float = 1.5
+    memory_least: int = 64 * 1024 * 1024
     evidence: EvidenceRule = field(default_factory=EvidenceRule)
 
 
@@ -146,7 +151,7 @@
         if not why and failed is not None and order.kind is not Kind.UNDRAIN:
             why = f"{failed}: {order.members[failed].why or 'did not come up'}"
         if not why and order.kind is Kind.RELEASE:
-            why = self._ends(book, order)
+            why = self._ends(book, order) or self._memory(book, order)
         return Stop(order.id, why) if why else None
 
     def _view(self, now: int, book: Book) -> str:
@@ -179,6 +184,19 @@
                 return f"{counted} programs of {len(ours)} released ended by themselves"
         return ""
 
+    def _memory(self, book: Book, order: Order) -> str:
+        ours, theirs = (self._held(names) for names in released(book, order))
+        if not ours or not theirs:
+            return ""
+        one, other = statistics.median(ours), statistics.median(theirs)
+        if one > self.rules.memory * other and one - other > self.rules.memory_least:
+            return f"released ones hold {one / 2**20:.0f} MiB in the median, the others {other / 2**20:.0f}"
+        return ""
+
+    def _held(self, names: list[str]) -> list[int]:
+        seen = (self.watch.seen.get(name) for name in names)
+        return [one.report.counts.memory for one in seen if one is not None and one.report.counts.memory]
+
     def _counted(self, book: Book, order: Order, names: list[str], since: bool = False) -> int:
         total = 0
         for name in names:
--- a/valverouter/rollout/keeping.py
+++ b/valverouter/rollout/keeping.py
@@ -63,6 +63,7 @@
     """What an instance tells of itself since its start; None of it is believed of a former process.
 
     `life`: of the process. `ready`: it has the list and a server. `trust`: in its view of the fleet.
+    `memory`: bytes that its process holds, as its keeper sees them; 0: not known.
     """
 
     life: int = 0
@@ -73,6 +74,7 @@
     lost: int = 0
     late: int = 0
     trust: str = ""
+    memory: int = 0
 
 
 class Facts(Struct, frozen=True):
--- a/valverouter/rollout/orders.py
+++ b/valverouter/rollout/orders.py
@@ -18,7 +18,7 @@
 
 from msgspec import Struct
 
-from valverouter.rollout.limits import refusal, waves
+from valverouter.rollout.limits import impossible, refusal, waves
 from valverouter.rollout.permits import Answer, Ask, Away, Back, Enrol, Halt, Permit, Register
 from valverouter.rollout.permits import Command as PermitCommand
 
@@ -282,6 +282,9 @@
         limits = self.register.limits.get(sort)
         if limits is None:
             return Placed(place.id, (), f"no limits are told for {sort.several}, so none may go out")
+        flaws = impossible(limits, sort, units)
+        if flaws:
+            return Placed(place.id, (), f"by these limits: {flaws[0]}")
         try:
             # Planned for a whole fleet: who is out at this moment holds a wave up and does not change it.
             made = waves(limits, units, (), list(place.names))
