--- a/tests/test_orders_processes.py
+++ b/tests/test_orders_processes.py
@@ -280,6 +280,18 @@
     assert played(tmp_path, script, 20).turns == 1
 
 
+@processes
+def test_an_order_that_was_refused_may_be_told_again_under_its_id(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        assert (await rig.tool("drain", "e0", "--id", "a"))[0] == 0
+        assert (await rig.tool("drain", "e1", "--id", "b"))[0] == 2
+        assert (await rig.tool("undrain", "e0"))[0] == 0
+        assert (await rig.tool("drain", "e1", "--id", "b"))[0] == 0
+        assert (await rig.tool("undrain", "--all"))[0] == 0
+
+    assert played(tmp_path, script, 20).turns == 4
+
+
 @processes
 def test_an_order_repeated_later_does_nothing_again(tmp_path: Path) -> None:
     async def script(rig: OrderRig) -> None:
--- a/valverouter/cli/ordering.py
+++ b/valverouter/cli/ordering.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import random
+import re
 import secrets
 import sys
 import time
@@ -34,6 +35,12 @@
 Option = Callable[[Callable[..., None]], Callable[..., None]]
 
 
+def _sound_id(context: click.Context, option: click.Parameter, id_: str) -> str:
+    if id_ and not re.fullmatch(r"[A-Za-z0-9._-]{1,64}", id_):
+        raise click.BadParameter("letters, digits, dots, dashes and underlines, 64 at most")
+    return id_
+
+
 def _all(*options: Option) -> Option:
     def put(command: Callable[..., None]) -> Callable[..., None]:
         for option in reversed(options):
@@ -53,7 +60,13 @@
     click.option("--all", "everybody", is_flag=True, help="All of them."),
 )
 how = _all(
-    click.option("--id", "id_", default="", help="The order's own id; told again, it is the same order."),
+    click.option(
+        "--id",
+        "id_",
+        default="",
+        callback=_sound_id,
+        help="The order's own id; told again, it is the same order.",
+    ),
     click.option("--dry-run", is_flag=True, help="Show the waves; nothing is ordered."),
     click.option("--no-wait", is_flag=True, help="Do not follow the order to its end."),
     click.option("--json", "as_json", is_flag=True, help="The order as JSON, once it is known."),
--- a/valverouter/fleet/council.py
+++ b/valverouter/fleet/council.py
@@ -35,6 +35,8 @@
 # Words taken in one go before what is due is done.
 BATCH = 64
 HERE_S = 1.0
+# Tools' questions that are remembered.
+PROPOSED_MOST = 1_024
 
 log = structlog.get_logger()
 
@@ -78,7 +80,10 @@
         # Names of the seats by the disks that they told of last.
         self._disks: dict[str, int] = {}
         self._was_leader = False
+        # What was told of each order last, for the log.
         self._told: dict[str, str] = {}
+        # Where in the record tools' commands stand, by the question; of this time in office.
+        self._proposed: dict[int, int] = {}
         durable = store.load()
         if found:
             _found(terms.name, durable, store)
@@ -203,20 +208,21 @@
             self.seat.read(now, lambda book: self._tells(source, asks, self._show(book)))
 
     def _do(self, source: str, asks: Asks, command: Command) -> None:
-        """Put into the record once for each nonce; the tool asks again until the record tells."""
-        now, key = self._now(), f"{asks.nonce}"
-        if isinstance(command, Place) and command.id in self.seat.answers:
-            answer = self.seat.answers[command.id]
-            self.seat.read(now, lambda book: self._tells(source, asks, answer))
-            return
-        if key in self._told:
-            if not isinstance(command, Place):
-                self.seat.read(now, lambda book: self._tells(source, asks, {"done": True}))
-            return
-        if self.seat.propose(now, command):
-            self._told[key] = ""
-            if len(self._told) > 1_024:
-                del self._told[next(iter(self._told))]
+        """Put into the record once for each question, and answered once the record holds it. A question of
+        its own is put there again, though it may be the same order: what refused it then may be over."""
+        now = self._now()
+        index = self._proposed.get(asks.nonce)
+        if index is None:
+            if self.seat.propose(now, command):
+                self._proposed[asks.nonce] = self.seat.councillor.last
+                if len(self._proposed) > PROPOSED_MOST:
+                    del self._proposed[next(iter(self._proposed))]
+        elif self.seat.applied >= index:
+            answer: Any = {"done": True}
+            if isinstance(command, Place):
+                answer = self.seat.answers.get(command.id)
+            if answer is not None:
+                self.seat.read(now, lambda book: self._tells(source, asks, answer))
 
     def _show(self, book: Book) -> Any:
         return shown(book, self.seat, self._now())
@@ -230,9 +236,13 @@
     def _tell(self) -> None:
         if self.seat.leads != self._was_leader:
             self._was_leader = self.seat.leads
+            self._proposed.clear()
             term = self.seat.councillor.durable.term
             self._log.info("council-leads" if self._was_leader else "council-follows", term=term)
-        for order in self.seat.book.orders.values():
+        orders = self.seat.book.orders
+        for gone in [id_ for id_ in self._told if id_ not in orders]:
+            del self._told[gone]
+        for order in orders.values():
             said = f"{order.phase.value} {order.wave} {order.result} {order.why}"
             if self._told.get(order.id) != said:
                 self._told[order.id] = said
