A second SIGTERM no longer ends a keeper before its instance; a rig that is killed takes its fleet along

Seen: keepers of a killed rig ended at once and left their edge proxies running at full load. The kernel sends the parent's death once for each of its threads, and the keeper had stopped listening after the first signal: the second met the default. It now listens until its program has ended.

--- a/tests/test_orders_processes.py
+++ b/tests/test_orders_processes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import shutil
+import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -320,11 +321,15 @@
 def test_a_sigterm_of_the_machine_is_obeyed_and_counted_as_out_without_leave(tmp_path: Path) -> None:
     async def script(rig: OrderRig) -> None:
         rig._fault("leave-k1", "k1", 10)
-        rig.processes["k1"].terminate()
+        for _ in range(3):
+            rig.processes["k1"].terminate()
+            await trio.sleep(0.05)
         with trio.fail_after(10):
             while (shown := await rig.status()) is None or shown.units[1].state != "away":
                 await trio.sleep(0.1)
-        rig.processes["k1"].wait()
+        # The last of the signals may meet one that has done all and is on its way out.
+        assert rig.processes["k1"].wait() in (0, -signal.SIGTERM)
+        assert rig._pid("e1") is None and b'"ended"' in (rig.folder / "k1.log").read_bytes()
         rig.start("k1")
         assert {unit.state for unit in (await rig.settled(20)).units} == {"in"}
 
--- a/valverouter/cli/seating.py
+++ b/valverouter/cli/seating.py
@@ -71,8 +71,7 @@
     task = SeatTask(terms, Sockets(), store, found)
     async with trio.open_nursery() as nursery:
         await nursery.start(task.run)
-        await _until_asked(lambda: None)
-        nursery.cancel_scope.cancel()
+        await _asked(nursery.cancel_scope.cancel)
 
 
 @click.command("keeper")
@@ -101,12 +100,13 @@
 
 async def _keep(task: KeeperTask) -> None:
     async with trio.open_nursery() as nursery:
-        await nursery.start(task.run)
-        await _until_asked(task.leave)
+        nursery.start_soon(_asked, task.leave)
+        await task.run()
+        nursery.cancel_scope.cancel()
 
 
-async def _until_asked(act: Callable[[], None]) -> None:
+async def _asked(act: Callable[[], None]) -> None:
+    """However often: a second signal that met nobody listening ended a keeper before its instance had."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             act()
-            return
--- a/valverouter/days/ordering.py
+++ b/valverouter/days/ordering.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import ctypes
 import os
 import random
 import signal
@@ -35,6 +36,7 @@
 CLI = (sys.executable, "-m", "valverouter.cli")
 # Of a version that ends by itself: after so long, in seconds.
 DIES_AFTER_S = 4
+PR_SET_PDEATHSIG = 1
 SEATS = ("c0", "c1", "c2")
 
 
@@ -225,7 +227,9 @@
         what = "council" if name in SEATS else "keeper"
         command = [*CLI, "fleet", what, str(self.folder / f"{name}.ini"), *more]
         with (self.folder / f"{name}.log").open("ab") as log:
-            self.processes[name] = subprocess.Popen(command, stdin=subprocess.DEVNULL, stderr=log)
+            self.processes[name] = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stderr=log, preexec_fn=_ends_with_us
+            )
 
     async def begin(self) -> None:
         """The council is founded, keepers start their edge proxies; returns once all are in."""
@@ -379,6 +383,12 @@
                     rows.append(Runs(seq, at, name, ""))
 
 
+def _ends_with_us() -> None:
+    """In a child: a rig that is killed must not leave its fleet running, whose load then spoils whatever is
+    measured next. A keeper that is told so ends its edge proxy first."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGTERM)
+
+
 def keeper_of(name: str) -> str:
     return f"k{name[1:]}" if name[0] == "e" else f"k{name}"
 
