An undrain waits for no other order, and a keeper that lost its disk finds what it had started

An undrain was queued behind an order that waited for the room which it gives back; and an instance whose keeper had lost its disk was never counted as in, since its version was not known (in the real program a second one would have found its addresses in use). An undrain goes at once; an instance tells its keeper its number and the version it was started as.

--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -519,6 +519,32 @@
     course.judge()
 
 
+def test_once_faults_are_over_every_order_comes_to_its_end() -> None:
+    """An undrain queued behind an order that waited for the room it gives back, and an instance whose keeper
+    did not know what ran, left orders waiting for good."""
+    for seed in (2001, 2016, 2018):
+        course = Rollout(seed, 12)
+        course.course(90)
+        course.run(course.now + 240 * SECOND)
+        assert course.leader is not None
+        assert {order.phase for order in course.leader.book.orders.values()} == {Phase.ENDED}, seed
+
+
+def test_an_undrain_waits_for_nobody() -> None:
+    record = Record()
+    record.place("d", Kind.DRAIN, "e0")
+    number = record.leave("d", "e0")
+    record.says(Went("d", "e0", number, Step.DRAINED))
+    record.place("a", Kind.RESTART, "e2")
+    refused = record.says(Ask("a/e2/0", "e2", "a"))
+    assert refused.permit is None and "of d" in refused.why
+    record.place("u", Kind.UNDRAIN, "e0")
+    assert record.book.wants["e0"].turn == (number, 1)
+    record.says(Back("e0", number))
+    assert record.book.orders["u"].result == "done"
+    record.leave("a", "e2", 1)
+
+
 @pytest.mark.parametrize("plant", ["again", "lapse"])
 def test_courses_find_a_planted_fault(plant: str) -> None:
     with pytest.raises(Broken):
--- a/valverouter/emulator/rollouts.py
+++ b/valverouter/emulator/rollouts.py
@@ -145,8 +145,8 @@
 
 class Rollout:
     """One course. `plant` takes a rule out, so that the watch is seen to find it: `again` (a keeper forgets
-    what it began), `lapse` (a leader takes whoever is silent for in), `alone` (a seat counts itself as
-    all)."""
+    what it began, and asks for no open permit), `lapse` (a leader takes whoever is silent for in).
+    `watching`: what judges releases, the program or one of the baselines."""
 
     def __init__(
         self,
@@ -286,7 +286,8 @@
     def lose_keeper_disk(self, name: str) -> None:
         one = self.fleet[name]
         self.crash_keeper(name)
-        one.disk = msgspec.msgpack.encode(Memory(one.version or "v1"))
+        # What runs tells the new keeper what it was started as.
+        one.disk = msgspec.msgpack.encode(Memory("v1", running=one.version))
         one.lost_disk = True
         self.found["keeper disk lost"] += 1
 
@@ -417,7 +418,7 @@
             self.at(one.stopped_until, self._worded, one, life, seat, word)
             return
         one.stamps[seat] = max(one.stamps.get(seat, 0), word.stamp)
-        one.keeping.wanted(self.now, word.want, word.is_open)
+        one.keeping.wanted(self.now, word.want, word.is_open or self.plant == "again")
         self._acts(one)
 
     def _watch(self) -> None:
--- a/valverouter/fleet/datagrams.py
+++ b/valverouter/fleet/datagrams.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import os
 import zlib
 from collections import Counter
 from collections.abc import Callable
@@ -37,6 +38,8 @@
 LEVELS = {"conflict": "error", "cut-off": "warning", "stalled": "warning", "accused": "warning"}
 # Drops are told no oftener than so.
 DROPS_TOLD_S = 60.0
+# The version that a keeper started this process as.
+LABEL = "VALVEROUTER_VERSION"
 
 log = structlog.get_logger()
 
@@ -58,6 +61,8 @@
         declined=declined,
         lost=lost,
         late=proxy.tally.late,
+        label=os.environ.get(LABEL, ""),
+        process=os.getpid(),
     )
 
 
--- a/valverouter/fleet/keeper.py
+++ b/valverouter/fleet/keeper.py
@@ -20,6 +20,7 @@
 
 from valverouter.edge.surroundings import READ, Datagrams, Surroundings
 from valverouter.fleet.asking import Count, Counted
+from valverouter.fleet.datagrams import LABEL
 from valverouter.fleet.post import Post
 from valverouter.fleet.sealing import Opener, Seal
 from valverouter.fleet.words import Reported, Worded
@@ -55,6 +56,13 @@
         self.mark = f"{pid} {_born(pid)}"
         self._descriptor = os.pidfd_open(pid)
 
+    @classmethod
+    def of(cls, pid: int) -> Running | None:
+        """The process of that number, if there is one."""
+        with suppress(OSError):
+            return cls(pid)
+        return None
+
     @classmethod
     def again(cls, mark: str) -> Running | None:
         """The process of that mark, if it still runs: a number alone may be another's by now."""
@@ -144,6 +152,8 @@
             self._log.info("keeper-listening", address=post.address)
             task_status.started(post.address)
             await self._hears_first(post)
+            if self._fresh and asking is not None:
+                await self._finds(asking, seal, opener)
             async with trio.open_nursery() as self._nursery:
                 self._takes_over()
                 while True:
@@ -182,6 +192,23 @@
                     await post.socket.readable()
                 self._hear(post)
 
+    async def _finds(self, socket: Datagrams, seal: Seal, opener: Opener) -> None:
+        """What a former self started, whose disk is lost: it answers where the instance is asked, and a
+        second one would find its addresses in use."""
+        socket.send(seal.seal(Count("", self._life, 0, self._nonce)), self._terms.asks)
+        with trio.move_on_after(ASK_S):
+            while True:
+                await socket.readable()
+                while (came := socket.take()) is not None:
+                    answer = opener.open(came[0])
+                    if isinstance(answer, Counted) and answer.counts.process:
+                        process = Running.of(answer.counts.process)
+                        self.keeping.memory.process = process.mark if process is not None else ""
+                        self.keeping.memory.running = answer.counts.label
+                        if process is not None:
+                            process.close()
+                        return
+
     # The council
 
     def _hear(self, post: Post) -> None:
@@ -277,7 +304,12 @@
                 output = Path(self._terms.output).open("ab")  # noqa: SIM115 - the program's own from here on
             # In a session of its own: what ends this keeper's terminal must not end its instance.
             child = subprocess.Popen(
-                command, stdin=subprocess.DEVNULL, stdout=output, stderr=output, start_new_session=True
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                start_new_session=True,
+                env=os.environ | {LABEL: version},
             )
             if self._terms.output:
                 output.close()
--- a/valverouter/rollout/conducting.py
+++ b/valverouter/rollout/conducting.py
@@ -92,6 +92,9 @@
         if commands:
             return commands
         commands = [*self._presence(now, book)]
+        for undrain in book.undrains:
+            for name in undrain.members:
+                commands += self._outcome(book, undrain, name)
         order = book.going
         if order is not None:
             stop = self._must_stop(now, book, order)
@@ -148,7 +151,7 @@
             return None
         why = self._view(now, book)
         failed = next((name for name, one in order.members.items() if one.step is Step.FAILED), None)
-        if not why and failed is not None and order.kind is not Kind.UNDRAIN:
+        if not why and failed is not None:
             why = f"{failed}: {order.members[failed].why or 'did not come up'}"
         if not why and order.kind is Kind.RELEASE:
             why = self._ends(book, order) or self._memory(book, order)
--- a/valverouter/rollout/keeping.py
+++ b/valverouter/rollout/keeping.py
@@ -63,7 +63,9 @@
     """What an instance tells of itself since its start; None of it is believed of a former process.
 
     `life`: of the process. `ready`: it has the list and a server. `trust`: in its view of the fleet.
-    `memory`: bytes that its process holds, as its keeper sees them; 0: not known.
+    `memory`: bytes that its process holds, as its keeper sees them; 0: not known. `label`, `process`: the
+    version that it was started as, and its number on its machine: by them a keeper that has lost its disk
+    finds what it had started.
     """
 
     life: int = 0
@@ -75,6 +77,8 @@
     late: int = 0
     trust: str = ""
     memory: int = 0
+    label: str = ""
+    process: int = 0
 
 
 class Facts(Struct, frozen=True):
--- a/valverouter/rollout/orders.py
+++ b/valverouter/rollout/orders.py
@@ -64,6 +64,7 @@
 
 
 OPEN = (Step.WAITING, Step.OUT, Step.FAILED)
+BUSY = (Phase.GOING, Phase.WATCHING, Phase.RETURNING)
 
 
 class Place(Struct, frozen=True, tag=True):
@@ -266,9 +267,14 @@
 
     @property
     def going(self) -> Order | None:
-        """The one order that goes."""
-        busy = (Phase.GOING, Phase.WATCHING, Phase.RETURNING)
-        return next((order for order in self.orders.values() if order.phase in busy), None)
+        """The one order that takes anybody out."""
+        busy = (order for order in self.orders.values() if order.phase in BUSY)
+        return next((order for order in busy if order.kind is not Kind.UNDRAIN), None)
+
+    @property
+    def undrains(self) -> list[Order]:
+        """Those under way: they bring in, wait for nobody, and whoever waits for room may wait for them."""
+        return [o for o in self.orders.values() if o.kind is Kind.UNDRAIN and o.phase in BUSY]
 
     def plan(self, place: Place) -> Placed:
         """The waves of an order as it would be placed now, or why it would be refused whole."""
@@ -368,25 +374,25 @@
         ended = [one.id for one in self.orders.values() if one.phase is Phase.ENDED]
         for old in ended[: max(0, len(ended) - ENDED_KEPT)]:
             del self.orders[old]
+        if place.kind is Kind.UNDRAIN:
+            self._undrain(order)
         self._begin()
         return plan
 
+    def _undrain(self, order: Order) -> None:
+        """At once: queued behind an order that waited for the very room that it gives back, neither ever
+        ended."""
+        order.phase = Phase.GOING
+        for name, member in order.members.items():
+            member.number, member.step = self._number(name), Step.OUT
+            self._want(name, member, 1, member.former, True, order.id)
+
     def _begin(self) -> None:
         """The first that waits goes, if none goes."""
-        while self.going is None:
+        if self.going is None:
             order = next((one for one in self.orders.values() if one.phase is Phase.QUEUED), None)
-            if order is None:
-                return
-            order.phase = Phase.GOING
-            if order.kind is Kind.UNDRAIN:
-                for name, member in order.members.items():
-                    member.number = self._number(name)
-                    if member.number:
-                        member.step = Step.OUT
-                        self._want(name, member, 1, member.former, True, order.id)
-                    else:
-                        member.step = Step.LEFT
-                self._forward(order)
+            if order is not None:
+                order.phase = Phase.GOING
 
     def _want(self, name: str, member: Member, step: int, version: str, up: bool, order: str) -> None:
         self.wants[name] = Want(version, up, member.number, step, order)
