--- a/tests/test_orders_processes.py
+++ b/tests/test_orders_processes.py
@@ -281,6 +281,22 @@
     assert played(tmp_path, script, 20).turns == 1
 
 
+@processes
+def test_a_keeper_that_lost_its_disk_finds_what_it_had_started(tmp_path: Path) -> None:
+    async def script(rig: OrderRig) -> None:
+        assert (await rig.tool("restart", "e1", "--id", "one"))[0] == 0
+        before = rig._pid("e1")
+        rig.kill("k1")
+        shutil.rmtree(rig.folder / "k1.store")
+        rig.start("k1")
+        await rig.settled(20)
+        assert rig._pid("e1") == before is not None, "it went on running, and no second one was started"
+        assert (await rig.tool("restart", "e1", "--id", "two"))[0] == 0
+        assert rig._pid("e1") != before
+
+    assert played(tmp_path, script, 20).turns == 2
+
+
 @processes
 def test_an_order_that_was_refused_may_be_told_again_under_its_id(tmp_path: Path) -> None:
     async def script(rig: OrderRig) -> None:
