--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -7,6 +7,8 @@
 
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from valverouter.emulator.rollouts import VERSIONS, Broken, Rollout
 from valverouter.rollout.conducting import Conductor, Rules
@@ -15,6 +17,7 @@
 from valverouter.rollout.keeping import Counts, Do, Facts, Keeping, Memory, Report
 from valverouter.rollout.limits import Limits, Sort, Unit
 from valverouter.rollout.orders import (
+    BUSY,
     Book,
     Command,
     Kind,
@@ -245,6 +248,79 @@
     assert msgspec.msgpack.decode(msgspec.msgpack.encode(kept), type=KeptSnapshot).state == record.book
 
 
+NAMES = [f"e{at}" for at in range(6)]
+names = st.lists(st.sampled_from(NAMES), min_size=1, max_size=6, unique=True).map(tuple)
+orders = st.sampled_from(["a", "b", "c", "d"])
+told = st.one_of(
+    st.builds(Place, orders, st.sampled_from(Kind), names, st.sampled_from(["v1", "v2"])),
+    st.builds(
+        lambda order, name, back, at: Ask(f"{order}/{name}{back}/{at}", name, order),
+        orders,
+        st.sampled_from(NAMES),
+        st.sampled_from(["", "/back"]),
+        st.integers(0, 3),
+    ),
+    st.builds(Back, st.sampled_from(NAMES), st.integers(0, 60)),
+    # Of whoever is out, as it would be told: drawn numbers alone rarely meet one.
+    st.builds(lambda name: ("back", name), st.sampled_from(NAMES)),
+    st.builds(
+        lambda order, name, step: ("went", order, name, step),
+        orders,
+        st.sampled_from(NAMES),
+        st.sampled_from([Step.FAILED, Step.DRAINED]),
+    ),
+    st.builds(Went, orders, st.sampled_from(NAMES), st.integers(0, 60), st.sampled_from(Step)),
+    st.builds(Next, orders, st.integers(0, 5)),
+    st.builds(Stop, st.sampled_from(["", "a", "b", "c"]), st.just("why"), st.booleans()),
+    st.builds(Away, st.sampled_from(NAMES)),
+    st.builds(Halt, st.just("why"), st.booleans()),
+    st.builds(Retire, st.sampled_from(NAMES)),
+)
+
+
+@given(st.lists(told, max_size=80))
+@settings(max_examples=300, deadline=None)
+def test_whatever_is_told_the_book_keeps_its_laws(commands: list[Any]) -> None:
+    record = Record()
+    book = record.book
+    turns = {name: (0, 0) for name in NAMES}
+    for command in commands:
+        if isinstance(command, tuple):
+            name = command[-1] if command[0] == "back" else command[2]
+            held = book.register.out.get(name)
+            number = held.number if held else 0
+            command = (
+                Back(name, number) if command[0] == "back" else Went(command[1], name, number, command[3])
+            )
+        before = set(book.register.out)
+        record.says(command)
+        permits = [name for name, held in book.register.out.items() if held is not None]
+        units = {name: unit for name, unit in book.register.units.items() if name in permits}
+        grew = len(set(book.register.out) - before)
+        if isinstance(command, Ask) and grew:
+            assert len(book.register.out) <= LIMITS.most, "leave was given past what may be out"
+            for region in ("north", "south"):
+                away = [n for n in book.register.out if book.register.units[n].region == region]
+                here = [n for n in away if units.get(n) and n == command.name]
+                assert not here or len(away) <= LIMITS.in_region
+        for name, want in book.wants.items():
+            assert want.turn >= turns[name], "what is wanted goes back to a former turn"
+            turns[name] = want.turn
+        busy = [one for one in book.orders.values() if one.phase in BUSY and one.kind is not Kind.UNDRAIN]
+        assert len(busy) <= 1, "two orders take out at once"
+        waiting = any(one.phase is Phase.QUEUED for one in book.orders.values())
+        assert busy or not waiting, "one waits and none goes"
+        for order in book.orders.values():
+            for name, member in order.members.items():
+                held = book.register.out.get(name)
+                if order.phase is not Phase.ENDED and member.step in (Step.OUT, Step.FAILED):
+                    assert held is not None and held.number == member.number, (order.id, name, member)
+            if order.phase is Phase.ENDED:
+                assert order.result in ("done", "in part", "halted")
+                assert not {m.step for m in order.members.values()} & {Step.OUT, Step.TO_RETURN, Step.WAITING}
+        assert msgspec.msgpack.decode(msgspec.msgpack.encode(book), type=Book) == book
+
+
 # A keeper
 
 
