--- a/valverouter/days/loopback.py
+++ b/valverouter/days/loopback.py
@@ -59,6 +59,7 @@
         self._nursery = nursery
         self._views = views
         self._process: trio.Process | None = None
+        self._struck = False
 
     async def start(self) -> None:
         """Returns once it listens; EdgeFailedError when it does not."""
@@ -68,11 +69,14 @@
         )
         self._ini.write_text(ini, "utf-8")
         self.starts += 1
+        self._struck = False
         with trio.move_on_after(START_WITHIN_S):
             address = await self._nursery.start(self._run)
             if address:
                 self.address = address
                 return
+            if self._struck:
+                return  # killed by the day while it came up: whoever did starts it again
         raise EdgeFailedError(f"{self._ini.name} did not come up: see {self.log}")
 
     async def _run(self, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
@@ -113,6 +117,7 @@
         return self._process.poll() if self._process is not None else None
 
     async def kill(self) -> None:
+        self._struck = True
         if self._process is not None:
             self._process.kill()
             await self._process.wait()
