--- a/tests/test_orders_parts.py
+++ b/tests/test_orders_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import socket
 import subprocess
 import sys
@@ -20,20 +21,26 @@
 from valverouter.cli.__main__ import main
 from valverouter.edge.surroundings import Sockets
 from valverouter.fleet.asking import Count
+from valverouter.fleet.council import SeatTask
 from valverouter.fleet.keeper import Running
 from valverouter.fleet.parcels import BURST, HELD_MOST, PIECE, Parcels, Piece, TooManyPiecesError
 from valverouter.fleet.post import Post
 from valverouter.fleet.sealing import MOST, Opener, Posted, Seal
+from valverouter.fleet.tool import CouncilAsker
 from valverouter.fleet.words import Asks, Here, Word
+from valverouter.ledger.councilstore import CouncilStore
 from valverouter.ledger.keeperstore import KeeperStore, opened
 from valverouter.ledger.store import LedgerBusyError
 from valverouter.rollout.keeping import Counts, Do, Facts, Keeping, Memory, Turn
-from valverouter.rollout.limits import Sort
-from valverouter.rollout.orders import Want
+from valverouter.rollout.limits import Sort, Unit
+from valverouter.rollout.orders import Kind, Place, Placed, Runs, Want
+from valverouter.rollout.permits import Enrol
+from valverouter.rollout.shown import Shown
+from valverouter.signalling import tap
 from valverouter.signalling.serverlist import Leave, Permits, Returns
-from valverouter.signalling.tap import Limited, Ordered, Placed, Row, Runs, Turned
+from valverouter.signalling.tap import Limited, Ordered, Row, Turned
 from valverouter.terms.ini import FlawedTermsError
-from valverouter.terms.rollout import load_keeper, load_seat, load_tool
+from valverouter.terms.rollout import ToolTerms, load_keeper, load_seat, load_tool
 
 SECOND = 10**9
 KEY = (b"k" * 32,)
@@ -133,6 +140,12 @@
 """
 
 
+def free_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as one:
+        one.bind(("127.0.0.1", 0))
+        return int(one.getsockname()[1])
+
+
 def written(tmp_path: Path, text: str) -> Path:
     key = tmp_path / "key"
     key.write_bytes(b"s" * 40)
@@ -211,6 +224,34 @@
     assert done.returncode == 3 and b"in use" in done.stderr, done.stderr
 
 
+async def test_a_tool_is_shown_a_fleet_that_no_burst_of_pieces_holds(tmp_path: Path) -> None:
+    """Shown anew at each question, with other spans in it, the pieces of two answers never made one."""
+    text = SEAT.replace(", c1 127.0.0.1:7001, c2 127.0.0.1:7002", "").replace("7000", str(free_port()))
+    terms = load_seat(written(tmp_path, text))
+    store = CouncilStore(terms.store, 7)
+    task = SeatTask(terms, Sockets(), store, found=True)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(task.run)
+        with trio.fail_after(5):
+            while not task.seat.councillor.confirmed:
+                await trio.sleep(0.05)
+        names = [f"edge-{at}" for at in range(900)]
+        units = tuple(Unit(name, Sort.EDGE, "north", 100) for name in names)
+        assert task.seat.propose(round(trio.current_time() * 1e9), Enrol(units))
+        for name in names:
+            task.seat.propose(round(trio.current_time() * 1e9), Runs(name, "v1", ("v1", "v2")))
+        socket = Sockets().datagrams("127.0.0.1:0")
+        asker = CouncilAsker(ToolTerms(terms.keys, terms.council), socket, random.Random(1))
+        shown = await asker.ask("show", None, Shown, 15)
+        assert shown is not None and [unit.name for unit in shown.units] == sorted(names)
+        assert len(msgspec.msgpack.encode(shown)) > BURST * PIECE
+        refused = await asker.ask("plan", Place("a", Kind.RESTART, ("nobody",)), Placed, 5)
+        assert refused is not None and refused.why == "nobody is not enrolled"
+        nursery.cancel_scope.cancel()
+    socket.close()
+    store.close()
+
+
 # The keeper's store and its program
 
 
@@ -320,7 +361,7 @@
 
 
 def rows(*told: Row) -> list[Row]:
-    head: list[Row] = [Limited(0, 0, 1, 1), Placed(0, 0, "e0", "north"), Placed(0, 0, "e1", "south")]
+    head: list[Row] = [Limited(0, 0, 1, 1), tap.Placed(0, 0, "e0", "north"), tap.Placed(0, 0, "e1", "south")]
     return [*head, *told]
 
 
@@ -330,9 +371,9 @@
 
 def test_the_check_finds_each_breach_and_nothing_in_a_sound_record() -> None:
     sound = rows(
-        Runs(1, 1, "e0", "v1"),
+        tap.Runs(1, 1, "e0", "v1"),
         turned(2, "e0", 7),
-        Runs(3, 3, "e0", "v2"),
+        tap.Runs(3, 3, "e0", "v2"),
         turned(4, "e0", 7, "done"),
         turned(5, "e1", 9),
         turned(6, "e1", 9, "done"),
@@ -347,7 +388,7 @@
         (rows(Ordered(9, 9, "r", "restart", "", "ended", "done", {"e0": ("done", 7, "v1")})), "told"),
         (
             rows(
-                Runs(1, 1, "e0", "v2"),
+                tap.Runs(1, 1, "e0", "v2"),
                 Ordered(9, 9, "r", "release", "v2", "ended", "halted", {"e0": ("out", 7, "v1")}),
             ),
             "back",
--- a/valverouter/cli/ordering.py
+++ b/valverouter/cli/ordering.py
@@ -205,7 +205,7 @@
 @click.option("--json", "as_json", is_flag=True)
 def back(file: Path, order: str, no_wait: bool, as_json: bool) -> None:
     """Bring back what the release ORDER brought to its version, whether it goes or has ended."""
-    known = next((one for one in _show(file).orders if one.id == order), None)
+    known = next((one for one in _show(file, order).orders if one.id == order), None)
     if known is None or known.kind != Kind.RELEASE.value:
         raise ValueError(f"there is no release {order!r}")
     if known.phase != "ended":
@@ -264,7 +264,8 @@
 @click.option("--json", "as_json", is_flag=True)
 def history(file: Path, order: str, as_json: bool) -> None:
     """The orders that the record holds, or one of them with what became of each instance."""
-    orders = [one for one in _show(file).orders if order in ("", one.id)]
+    about = order or ("*" if as_json else "")
+    orders = [one for one in _show(file, about).orders if order in ("", one.id)]
     if order and not orders:
         raise ValueError(f"there is no order {order!r}")
     if as_json:
@@ -287,7 +288,7 @@
     return time.time_ns() // 1_000_000
 
 
-def _ask(file: Path, what: str, command: Command | None, kind: Any) -> Any:
+def _ask(file: Path, what: str, command: Command | None, kind: Any, about: str = "") -> Any:
     terms = load_tool(file)
 
     async def asked() -> Any:
@@ -295,15 +296,15 @@
         socket = Sockets().datagrams("[::]:0" if ":" in host else "0.0.0.0:0")
         try:
             asker = CouncilAsker(terms, socket, random.Random(secrets.randbits(64)))
-            return await asker.ask(what, command, kind, WITHIN_S)
+            return await asker.ask(what, command, kind, WITHIN_S, about)
         finally:
             socket.close()
 
     return trio.run(asked)
 
 
-def _show(file: Path) -> Shown:
-    shown = _ask(file, "show", None, Shown)
+def _show(file: Path, about: str = "") -> Shown:
+    shown = _ask(file, "show", None, Shown, about)
     if shown is None:
         console.print("nobody of the council who leads was reached", highlight=False)
         sys.exit(UNKNOWN)
@@ -319,7 +320,7 @@
     """Until it ends; what changes is told line by line, and interrupting it ends the telling alone."""
     said = ""
     while True:
-        shown = _show(file)
+        shown = _show(file, order)
         one = next((one for one in shown.orders if one.id == order), None)
         if one is None:
             _unknown(order)
@@ -358,7 +359,7 @@
 
 
 def _counts(order: Order) -> str:
-    return ", ".join(f"{count} {step}" for step, count in Counter(m.step for m in order.members).items())
+    return ", ".join(f"{count} {step}" for step, count in order.counts.items())
 
 
 def _members(order: Order) -> None:
--- a/valverouter/days/ordering.py
+++ b/valverouter/days/ordering.py
@@ -25,7 +25,7 @@
 from valverouter.days.viewing import SECRET
 from valverouter.days.world import World
 from valverouter.edge.surroundings import Sockets
-from valverouter.rollout.shown import Shown
+from valverouter.rollout.shown import Order, Shown
 from valverouter.servermodel.paths import PathFault, Paths
 from valverouter.signalling.tap import Fault, Limited, Ordered, Row, Runs, Turned
 from valverouter.standins.paths import PathStandIn
@@ -330,7 +330,8 @@
 
     async def end(self) -> None:
         """Everybody is asked to end; the rows of their logs."""
-        shown = await self.status()
+        code, said = await self.tool("history", "--json", within=15.0)
+        orders = msgspec.json.decode(said.splitlines()[0], type=list[Order]) if code == 0 and said else []
         for process in self.processes.values():
             process.terminate()
         with trio.move_on_after(12):
@@ -343,7 +344,7 @@
             if name[0] == "k" and (pid := self._pid(kept_by(name))) is not None:
                 os.kill(pid, signal.SIGKILL)
         self._read_logs()
-        for one in shown.orders if shown is not None else ():
+        for one in orders:
             members = {m.name: (m.step, m.number, m.former) for m in one.members}
             self.world.tap.row(
                 Ordered,
--- a/valverouter/fleet/council.py
+++ b/valverouter/fleet/council.py
@@ -37,6 +37,7 @@
 HERE_S = 1.0
 # Tools' questions that are remembered.
 PROPOSED_MOST = 1_024
+SHOWN_MOST = 16
 
 log = structlog.get_logger()
 
@@ -82,6 +83,8 @@
         self._was_leader = False
         # What was told of each order last, for the log.
         self._told: dict[str, str] = {}
+        # What tools were shown, by the question.
+        self._shown: dict[int, bytes] = {}
         # Where in the record tools' commands stand, by the question; of this time in office.
         self._proposed: dict[int, int] = {}
         durable = store.load()
@@ -205,7 +208,7 @@
             place = command
             self.seat.read(now, lambda book: self._tells(source, asks, book.plan(place)))
         elif asks.what == "show":
-            self.seat.read(now, lambda book: self._tells(source, asks, self._show(book)))
+            self.seat.read(now, lambda book: self._shows(source, asks, book))
 
     def _do(self, source: str, asks: Asks, command: Command) -> None:
         """Put into the record once for each question, and answered once the record holds it. A question of
@@ -224,8 +227,14 @@
             if answer is not None:
                 self.seat.read(now, lambda book: self._tells(source, asks, answer))
 
-    def _show(self, book: Book) -> Any:
-        return shown(book, self.seat, self._now())
+    def _shows(self, source: str, asks: Asks, book: Book) -> None:
+        """The same words to the same question, however often it is asked: a fleet's worth of them goes in
+        many pieces, and those that were lost could not be filled from other words."""
+        if asks.nonce not in self._shown:
+            self._shown[asks.nonce] = msgspec.msgpack.encode(shown(book, self.seat, self._now(), asks.about))
+            if len(self._shown) > SHOWN_MOST:
+                del self._shown[next(iter(self._shown))]
+        self._tells(source, asks, msgspec.Raw(self._shown[asks.nonce]))
 
     def _tells(self, source: str, asks: Asks, body: Any) -> None:
         raw = msgspec.Raw(msgspec.msgpack.encode(body))
--- a/valverouter/fleet/tool.py
+++ b/valverouter/fleet/tool.py
@@ -83,12 +83,12 @@
         self._nonce = chance.getrandbits(62)
 
     async def ask(
-        self, what: str, command: Command | None, kind: type[Answer], within: float
+        self, what: str, command: Command | None, kind: type[Answer], within: float, about: str = ""
     ) -> Answer | None:
         """The leader's answer; None where none came within so many seconds: what became of a command is
         unknown then, and asking again tells."""
         self._nonce += 1
-        asks = Asks(self._nonce, what, command)
+        asks = Asks(self._nonce, what, command, about)
         with trio.move_on_after(within):
             while True:
                 for address in self._terms.council.values():
--- a/valverouter/rollout/shown.py
+++ b/valverouter/rollout/shown.py
@@ -35,6 +35,8 @@
 
 
 class Order(Struct, frozen=True):
+    """`counts`: of members by their step; `members` where they were asked for, or the order has not ended."""
+
     id: str
     kind: str
     version: str
@@ -45,6 +47,7 @@
     waves: tuple[tuple[str, ...], ...]
     result: str
     why: str
+    counts: dict[str, int]
     members: tuple[Member, ...]
 
 
@@ -61,8 +64,8 @@
     least: int = 0
 
 
-def shown(book: Book, seat: Seat, now: int) -> Shown:
-    """All of it."""
+def shown(book: Book, seat: Seat, now: int, about: str = "") -> Shown:
+    """`about`: an order that has ended and whose members are wanted too; * is all of them."""
     pairs, least = seat.conductor.pairs if seat.conductor else (0, 0)
     going = book.going
     watching = going is not None and going.phase in (Phase.WATCHING, Phase.GOING)
@@ -84,9 +87,11 @@
                 tuple(tuple(wave) for wave in one.waves),
                 one.result,
                 one.why,
+                one.counts,
                 tuple(
                     Member(name, member.step.value, member.number, member.former, member.why)
                     for name, member in one.members.items()
+                    if one.phase is not Phase.ENDED or about in ("*", one.id)
                 ),
             )
             for one in book.orders.values()
