--- a/valverouter/days/ordercourses.py
+++ b/valverouter/days/ordercourses.py
@@ -32,8 +32,8 @@
         async with trio.open_nursery() as nursery:
             with trio.move_on_after(self._length_s):
                 while True:
-                    await trio.sleep(chance.expovariate(1 / 2.5))
-                    if chance.random() < 0.4:
+                    await trio.sleep(chance.expovariate(1 / 1.2))
+                    if chance.random() < 0.5:
                         nursery.start_soon(self._order, rig, self._words(rig))
                     else:
                         nursery.start_soon(self._fault, rig, began)
