--- a/benchmarks/rolling.py
+++ b/benchmarks/rolling.py
@@ -52,6 +52,7 @@
 release_work = 15ms
 refuse_work = 5ms
 most_wait = 2500ms
+report_every = 3s
 [traffic plain]
 objective = 1500ms
 length = 10s
