--- a/valverouter/cli/__main__.py
+++ b/valverouter/cli/__main__.py
@@ -7,46 +7,51 @@
 from __future__ import annotations
 
 import sys
+from importlib import import_module
 
 import click
 
-from valverouter.cli.attempts import terms
 from valverouter.cli.common import FAILED, UNUSABLE, leaf
-from valverouter.cli.crossings import regions
-from valverouter.cli.edging import edge
-from valverouter.cli.experimenting import experiment
-from valverouter.cli.fleeting import fleet
-from valverouter.cli.ledgers import ledger
-from valverouter.cli.playing import check, check_records, kept_calls, load, play, standin
-from valverouter.days.loopback import EdgeFailedError
-from valverouter.ledger.store import LedgerError
-from valverouter.load.drive import LoadFailedError
+from valverouter.ledger.file import LedgerError
 from valverouter.terms.ini import FlawedTermsError
 
+# Each command by its module, loaded when it is called: with all of them, half of an edge proxy's start went
+# by in loading what draws charts and plays days.
+COMMANDS = {
+    "audit": "playing:check_records",
+    "calls": "playing:kept_calls",
+    "check": "playing:check",
+    "day": "playing:play",
+    "edge": "edging:edge",
+    "experiment": "experimenting:experiment",
+    "fleet": "fleeting:fleet",
+    "ledger": "ledgers:ledger",
+    "load": "playing:load",
+    "regions": "crossings:regions",
+    "standin": "playing:standin",
+    "terms": "attempts:terms",
+}
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+
+class Commands(click.Group):
+    def list_commands(self, context: click.Context) -> list[str]:
+        return sorted(COMMANDS)
+
+    def get_command(self, context: click.Context, name: str) -> click.Command | None:
+        if name not in COMMANDS:
+            return None
+        module, _, attribute = COMMANDS[name].partition(":")
+        command = getattr(import_module(f"valverouter.cli.{module}"), attribute)
+        assert isinstance(command, click.Command)
+        return command
+
+
+@click.command(cls=Commands, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name="valverouter")
 def main() -> None:
     """A call router: edge proxies that set dialogs up at shared setup servers."""
 
 
-for command in (
-    edge,
-    play,
-    check_records,
-    kept_calls,
-    check,
-    standin,
-    load,
-    terms,
-    experiment,
-    ledger,
-    regions,
-    fleet,
-):
-    main.add_command(command)
-
-
 def run() -> None:
     """The program's entry; flaws and errors as one plain line each, never a traceback."""
     try:
@@ -62,10 +67,17 @@
     except (ValueError, OSError, LedgerError) as error:
         click.echo(f"valverouter: {error}", err=True)
         sys.exit(UNUSABLE)
-    except LoadFailedError as error:
+    except RuntimeError as error:
+        from valverouter.load.drive import LoadFailedError
+
+        if not isinstance(error, LoadFailedError):
+            raise
         click.echo(f"valverouter: {error}", err=True)
         sys.exit(FAILED)
     except BaseExceptionGroup as group:
+        from valverouter.days.loopback import EdgeFailedError
+        from valverouter.load.drive import LoadFailedError
+
         if group.split((EdgeFailedError, LoadFailedError, OSError))[1] is not None:
             raise
         click.echo(f"valverouter: {leaf(group)}", err=True)
--- a/valverouter/cli/edging.py
+++ b/valverouter/cli/edging.py
@@ -5,7 +5,6 @@
 import secrets
 import signal
 import sys
-import time
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 from importlib.metadata import version
@@ -21,7 +20,8 @@
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.surroundings import Sockets, long_lived
 from valverouter.fleet.datagrams import FleetTask, counts_of, facts_of
-from valverouter.ledger.store import Ledger, LedgerBusyError, LedgerError
+from valverouter.ledger.file import LedgerError, sound
+from valverouter.ledger.store import Ledger
 from valverouter.terms.edge import EdgeTerms, load_edge_terms, load_settled
 from valverouter.terms.ini import FlawedTermsError
 
@@ -80,20 +80,9 @@
         yield None
         return
     folder = Path(told.folder)
-    try:
-        store = Ledger(folder, told.most, told.sync)
-        try:
-            store.check()
-        except LedgerError:
-            store.close()
-            raise
-    except LedgerBusyError:
-        raise
-    except LedgerError as error:
-        aside = folder.with_name(f"{folder.name}.aside-{time.time_ns()}")
-        folder.rename(aside)
-        log.error("ledger-set-aside", why=str(error), to=str(aside))
-        store = Ledger(folder, told.most, told.sync)
+    store, _, why, aside = sound(folder, lambda: Ledger(folder, told.most, told.sync), Ledger.check)
+    if why:
+        log.error("ledger-set-aside", why=why, to=str(aside))
     with store:
         yield store
 
--- a/valverouter/cli/seating.py
+++ b/valverouter/cli/seating.py
@@ -5,7 +5,6 @@
 import secrets
 import signal
 import sys
-import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -19,8 +18,8 @@
 from valverouter.fleet.council import NotFoundedError, SeatTask
 from valverouter.fleet.keeper import KeeperTask
 from valverouter.ledger.councilstore import CouncilStore
+from valverouter.ledger.file import LedgerError, sound
 from valverouter.ledger.keeperstore import opened
-from valverouter.ledger.store import LedgerBusyError, LedgerError
 from valverouter.terms.rollout import SeatTerms, load_keeper, load_seat
 
 log = structlog.get_logger()
@@ -50,21 +49,10 @@
 def _store(terms: SeatTerms) -> CouncilStore:
     """One that can't be read whole is a lost disk: set aside, and the seat comes back as another."""
     fresh = secrets.randbits(63)
-    try:
-        store = CouncilStore(terms.store, fresh)
-        try:
-            store.load()
-            return store
-        except LedgerError:
-            store.close()
-            raise
-    except LedgerBusyError:
-        raise
-    except LedgerError as error:
-        aside = terms.store.with_name(f"{terms.store.name}.aside-{time.time_ns()}")
-        terms.store.rename(aside)
-        log.error("record-set-aside", why=str(error), to=str(aside))
-        return CouncilStore(terms.store, fresh)
+    store, _, why, aside = sound(terms.store, lambda: CouncilStore(terms.store, fresh), CouncilStore.load)
+    if why:
+        log.error("record-set-aside", why=why, to=str(aside))
+    return store
 
 
 async def _seat(terms: SeatTerms, store: CouncilStore, found: bool) -> None:
--- a/valverouter/cli/tables.py
+++ b/valverouter/cli/tables.py
@@ -13,11 +13,11 @@
 from valverouter.audit.rules import Verdict
 from valverouter.audit.views import Views
 from valverouter.regions.accounts import COUNTS, Line, Tally
-from valverouter.regions.planner import Plan
 from valverouter.terms.ini import show_span
 
 if TYPE_CHECKING:
     from valverouter.experiments.report import Cell
+    from valverouter.regions.planner import Plan
 
 RULES = {
     1: "one final answer, in time, nothing after",
--- a/valverouter/ledger/file.py
+++ b/valverouter/ledger/file.py
@@ -4,9 +4,11 @@
 
 import fcntl
 import os
+import time
 import zlib
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any, BinaryIO
+from typing import Any, BinaryIO, Protocol, TypeVar
 
 
 class LedgerError(Exception):
@@ -30,6 +32,41 @@
     return lock
 
 
+class Closes(Protocol):
+    def close(self) -> None: ...
+
+
+Store = TypeVar("Store", bound=Closes)
+Held = TypeVar("Held")
+
+
+def sound(
+    path: Path, opens: Callable[[], Store], reads: Callable[[Store], Held]
+) -> tuple[Store, Held, str, Path | None]:
+    """An open store that can be read whole, and what `reads` makes of it.
+
+    One that can't is set aside and a fresh one opened in its place: then why, and where the former is.
+    LedgerBusyError where another process holds it.
+    """
+    try:
+        return *_read(opens, reads), "", None
+    except LedgerBusyError:
+        raise
+    except LedgerError as error:
+        aside = path.with_name(f"{path.name}.aside-{time.time_ns()}")
+        path.rename(aside)
+        return *_read(opens, reads), str(error), aside
+
+
+def _read(opens: Callable[[], Store], reads: Callable[[Store], Held]) -> tuple[Store, Held]:
+    store = opens()
+    try:
+        return store, reads(store)
+    except LedgerError:
+        store.close()
+        raise
+
+
 def used(env: Any) -> int:
     """Bytes of pages in use; those of entries that went are used again."""
     info, stat = env.info(), env.stat()
--- a/valverouter/ledger/keeperstore.py
+++ b/valverouter/ledger/keeperstore.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
-import time
 from pathlib import Path
 
 import lmdb
 import msgspec
 
-from valverouter.ledger.file import LedgerBusyError, LedgerError, body_of, cover, owned, summed
+from valverouter.ledger.file import LedgerError, body_of, cover, owned, sound, summed
 from valverouter.rollout.keeping import Memory
 
 FORMAT = b"keeper 1"
@@ -62,15 +61,5 @@
 
 def opened(path: Path) -> tuple[KeeperStore, Memory | None, str]:
     """A store that can be used, what it held, and why a former one was set aside: empty, if none was."""
-    try:
-        store = KeeperStore(path)
-        try:
-            return store, store.load(), ""
-        except LedgerError:
-            store.close()
-            raise
-    except LedgerBusyError:
-        raise
-    except LedgerError as error:
-        path.rename(path.with_name(f"{path.name}.aside-{time.time_ns()}"))
-        return KeeperStore(path), None, str(error)
+    store, memory, why, _ = sound(path, lambda: KeeperStore(path), KeeperStore.load)
+    return store, memory, why
