Read once more: an order is placed in one place, a seat's and a keeper's reach read by one function

Found by reading the change: back and the other orders each placed, told and refused by lines of their own; seat and keeper files read keys, council and addresses twice; a look for a name already at hand, a parameter nobody read, a copy of a list. Behaviour as it was: 93 tests of orders, and two hard cases of real processes (the way back, a refused order told again), pass.

--- a/valverouter/cli/ordering.py
+++ b/valverouter/cli/ordering.py
@@ -85,15 +85,7 @@
         time.time_ns() // 1_000_000,
         "tool",
     )
-    what = "plan" if told["dry_run"] else "do"
-    if not told["dry_run"]:
-        console.print(f"order {place.id}", highlight=False)
-    placed = _ask(told["file"], what, place, Placed)
-    if placed is None:
-        _unknown(place.id)
-    if placed.why:
-        console.print(f"refused: {placed.why}", highlight=False, soft_wrap=True)
-        sys.exit(REFUSED)
+    placed = _place(told["file"], place, told["dry_run"])
     if told["dry_run"]:
         _waves(shown, place, placed)
         return
@@ -102,6 +94,20 @@
     _follow(told["file"], place.id, told["as_json"])
 
 
+def _place(file: Path, place: Place, dry_run: bool = False) -> Placed:
+    """Placed, or planned alone; ends with REFUSED or UNKNOWN where it was not. Its id is told before it is
+    sent, so that it can be taken up whatever becomes of this tool."""
+    if not dry_run:
+        console.print(f"order {place.id}", highlight=False)
+    placed = _ask(file, "plan" if dry_run else "do", place, Placed)
+    if placed is None:
+        _unknown(place.id)
+    if placed.why:
+        console.print(f"refused: {placed.why}", highlight=False, soft_wrap=True)
+        sys.exit(REFUSED)
+    return placed  # type: ignore[no-any-return]
+
+
 def _picked(units: Sequence[Unit], kind: Kind, version: str, told: dict[str, Any]) -> list[str]:
     """Those meant; ValueError for a selector that means nobody it could."""
     sort = "server" if told["servers"] else "edge proxy"
@@ -219,13 +225,7 @@
         raise ValueError(f"{order} brought instances from {len(former)} versions: release them by name")
     names = tuple(member.name for member in known.members if member.step == "done")
     place = Place(f"{order}-back", Kind.RELEASE, names, former.pop(), _wall(), "tool")
-    console.print(f"order {place.id}", highlight=False)
-    placed = _ask(file, "do", place, Placed)
-    if placed is None:
-        _unknown(place.id)
-    if placed.why:
-        console.print(f"refused: {placed.why}", highlight=False, soft_wrap=True)
-        sys.exit(REFUSED)
+    _place(file, place)
     if not no_wait:
         _follow(file, place.id, as_json)
 
--- a/valverouter/fleet/council.py
+++ b/valverouter/fleet/council.py
@@ -118,7 +118,7 @@
                     came = post.take()
                     if came is None:
                         break
-                    self._hear(post, *came)
+                    self._hear(*came)
                     self._leave(post)
                 self.seat.tick(self._now())
                 self._mend()
@@ -146,7 +146,7 @@
         for address, word in words:
             post.send(address, word)
 
-    def _hear(self, post: Post, word: Any, source: str) -> None:
+    def _hear(self, word: Any, source: str) -> None:
         now = self._now()
         match word:
             case Votes(to, message):
--- a/valverouter/fleet/keeper.py
+++ b/valverouter/fleet/keeper.py
@@ -218,8 +218,8 @@
                 self._worded(word)
 
     def _worded(self, word: Worded) -> None:
-        name = next((name for name in self._terms.council if name == word.seat), "")
-        if not name:
+        name = word.seat
+        if name not in self._terms.council:
             return
         life, stamp = self._stamps.get(name, (0, 0))
         if word.life == life and word.stamp < stamp:
--- a/valverouter/rollout/conducting.py
+++ b/valverouter/rollout/conducting.py
@@ -181,7 +181,7 @@
         ours = [name for name, one in order.members.items() if one.step in (Step.OUT, Step.DONE)]
         counted = self._counted(book, order, ours)
         if counted >= min(self.rules.ends, max(1, len(ours))):
-            others = [name for name in released(book, order)[1]]
+            others = released(book, order)[1]
             theirs = self._counted(book, order, others, since=True)
             if counted * max(1, len(others)) > 2 * theirs * len(ours):
                 return f"{counted} programs of {len(ours)} released ended by themselves"
--- a/valverouter/terms/rollout.py
+++ b/valverouter/terms/rollout.py
@@ -153,13 +153,11 @@
     keys: tuple[bytes, ...] = ()
     council: dict[str, str] = {}
     if seat:
-        keys = _keys(ini, "seat", seat.key, seat.also)
-        council = _council(ini, "seat", seat.council)
+        keys, council = _reach(ini, "seat", seat)
         if council and seat.name not in council:
             ini.flaw("seat", "council", f"{seat.name} itself is not in it")
         if council and len(council) not in SEATS:
             ini.flaw("seat", "council", f"{len(council)} seats; wanted are 3 or 5, or 1 to try it")
-        _addresses(ini, "seat", seat.listen, seat.advertise)
     ini.done()
     assert seat and evidence and log
     return SeatTerms(
@@ -205,9 +203,7 @@
     keys: tuple[bytes, ...] = ()
     council: dict[str, str] = {}
     if keeper:
-        keys = _keys(ini, "keeper", keeper.key, keeper.also)
-        council = _council(ini, "keeper", keeper.council)
-        _addresses(ini, "keeper", keeper.listen, keeper.advertise)
+        keys, council = _reach(ini, "keeper", keeper)
         if keeper.asks:
             told_address(ini, "keeper", "asks", keeper.asks, told_port=True)
         elif keeper.sort == "edge proxy":
@@ -252,9 +248,14 @@
     return words
 
 
-def _keys(ini: IniFile, section: str, key: str, also: str) -> tuple[bytes, ...]:
-    told = [key_at(ini, section, name, path) for name, path in (("key", key), ("also", also)) if path]
-    return tuple(one for one in told if one)
+def _reach(ini: IniFile, section: str, told: _Seat | _Keeper) -> tuple[tuple[bytes, ...], dict[str, str]]:
+    """The keys and the council of a seat's or a keeper's section; its own addresses are checked too."""
+    told_address(ini, section, "listen", told.listen, told_port=False)
+    if told.advertise:
+        told_address(ini, section, "advertise", told.advertise, told_port=True)
+    files = (("key", told.key), ("also", told.also))
+    keys = [key_at(ini, section, name, path) for name, path in files if path]
+    return tuple(key for key in keys if key), _council(ini, section, told.council)
 
 
 def _council(ini: IniFile, section: str, words: Words) -> dict[str, str]:
@@ -274,12 +275,6 @@
     return council
 
 
-def _addresses(ini: IniFile, section: str, listen: str, advertise: str) -> None:
-    told_address(ini, section, "listen", listen, told_port=False)
-    if advertise:
-        told_address(ini, section, "advertise", advertise, told_port=True)
-
-
 def tool_terms(ini: IniFile) -> ToolTerms:
     """From any seat's or keeper's file."""
     if "seat" in ini.sections:
