--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -741,10 +741,6 @@
         assert 4_096 <= most <= 4_096 + 2 * 1_400  # the bound and what one read brings beyond it, twice
 
 
-# Found and not mended: what should be, and is not. docs/readiness-review.md says why.
-
-
-@pytest.mark.xfail(strict=True, reason="a pause is reckoned once, in turns of the hour of the failure")
 def test_a_failure_at_night_does_not_keep_a_server_away_in_the_morning() -> None:
     rig = Quiet(2, edge_proxies=200)
     for server in ("s0", "s1"):
--- a/valverouter/control.py
+++ b/valverouter/control.py
@@ -181,6 +181,7 @@
         self.window = WINDOW_FIRST
         self.cut_at = now
         self.failures = 0
+        self.failed_at = now
         self.shunned_until = 0
         # Our turns at a cold server since its start, and the last one used.
         self.turns = 0.0
@@ -210,10 +211,19 @@
             self.window = max(WINDOW_LEAST, self.window * WINDOW_KEEPS)
             self.cut_at = now
 
-    def sound(self, now: int) -> bool:
+    def sound(self, now: int, turn: float) -> bool:
         # A server whose last news was a failure gets one leg at a time, after a growing pause: it is
-        # neither shut out for good nor flooded when it returns.
-        return not self.failures or (now >= self.shunned_until and not self.out)
+        # neither shut out for good nor flooded when it returns. A pause that a quiet hour made long is
+        # over once turns have come faster again: reckoned once, it kept a server away all morning.
+        if not self.failures:
+            return True
+        over = min(self.shunned_until, self.failed_at + self.pause(turn))
+        return now >= over and not self.out
+
+    def pause(self, turn: float) -> int:
+        """After the present failures in a row, with so long a turn."""
+        base, cap = max(SHUN_BASE, SHUN_BASE_TURNS * turn), max(SHUN_CAP, SHUN_CAP_TURNS * turn)
+        return doubled(int(base), self.failures - 1, int(cap))
 
 
 class Control:
@@ -305,16 +315,20 @@
         if report.lines and report.free_lines is not None:
             far.lines = report.lines
             far.busy = report.lines - report.free_lines
-            if self._cold_share(far) >= 1 and not self._carried.get(far.entry.number, (0.0, 0))[0]:
+            if self._kept(far) < 1:
+                # Nothing is known, or no more than at the start.
                 self._carries(far)
         if report.wait is not None:
             far.told_wait = report.wait
 
     def _carries(self, far: Far) -> None:
         if self._cold_share(far) >= 1:
-            most, at = self._carried.get(far.entry.number, (0.0, self.now))
-            kept = most * CARRIED_KEEPS ** ((self.now - at) / SECOND)
-            self._carried[far.entry.number] = max(kept, far.busy), self.now
+            self._carried[far.entry.number] = max(self._kept(far), far.busy), self.now
+
+    def _kept(self, far: Far) -> float:
+        most, at = self._carried.get(far.entry.number, (0.0, self.now))
+        kept: float = CARRIED_KEEPS ** ((self.now - at) / SECOND)
+        return most * kept
 
     def learn(self, result: LegResult) -> list[tuple[str, int]]:
         """Every result teaches about its server, also of dialogs long ended; names legs to cancel."""
@@ -360,8 +374,8 @@
         far.adapt(False, sent_at, self.now)
         turn = self._turn(far)
         far.heard(max(self.now - sent_at, far.delay), self.now, turn)
-        base, cap = max(SHUN_BASE, SHUN_BASE_TURNS * turn), max(SHUN_CAP, SHUN_CAP_TURNS * turn)
-        far.shunned_until = self.now + doubled(int(base), far.failures - 1, int(cap))
+        far.failed_at = self.now
+        far.shunned_until = self.now + far.pause(turn)
         return []
 
     def _overtaken(self, far: Far, sent_at: int) -> list[tuple[str, int]]:
@@ -531,7 +545,7 @@
         return (
             self.now >= far.no_agent_until
             and len(far.out) < far.window
-            and far.sound(self.now)
+            and far.sound(self.now, self._turn(far))
             and far.wait(self.now) <= limit
             and self._cold_turn(far)
         )
