--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,33 @@
-"""One verdict every time: properties draw the same cases in each run, and no clock judges them."""
+"""One verdict every time: properties draw the same cases in each run, and no clock judges them.
 
+What KNOWN-RED.txt lists must fail, and is printed; nothing else may.
+"""
+
+from __future__ import annotations
+
+import pytest
 from hypothesis import settings
 
+from tests import knownred
+
 settings.register_profile("same", deadline=None, derandomize=True)
 settings.load_profile("same")
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    try:
+        knownred.reds(knownred.FILE.read_text("utf-8"))
+    except (OSError, ValueError) as error:
+        raise pytest.UsageError(str(error)) from None
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    listed = {red.test: red for red in knownred.reds(knownred.FILE.read_text("utf-8"))}
+    for item in items:
+        if (red := listed.get(item.nodeid)) is not None:
+            item.add_marker(pytest.mark.xfail(strict=True, reason=str(red)))
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    for red in knownred.reds(knownred.FILE.read_text("utf-8")):
+        terminalreporter.write_line(f"known red: {red}")
