--- a/tests/drilling.py
+++ b/tests/drilling.py
@@ -116,14 +116,30 @@
     async def start(self, text: str, stderr: int | None = None) -> None:
         """Starts it and waits until it listens; with `stderr` of its own, until its port is known to us."""
         self.file.write_text(text, "utf-8")
-        command = [sys.executable, "-m", "valverouter.cli", "edge", str(self.file)]
+        self.spawn(["valverouter.cli", "edge", str(self.file)], stderr=stderr)
+        if stderr is None:
+            self.address = (await self.event("listening"))["address"]
+            await self.event("link-up", many=len(self.servers))
+
+    async def relay(self, told: dict[str, Any]) -> None:
+        """Starts the edge proxy behind the platform's protocol, told so; waits until it listens."""
+        self.file = self.folder / "config.json"
+        self.file.write_bytes(msgspec.json.encode(told))
+        self.spawn(["valverouter.relayedge"], {"RELAY_CONFIG": str(self.file)})
+        await self.event("listening")
+        self.address = told["listen"]
+
+    def spawn(
+        self, module: list[str], environment: dict[str, str] | None = None, stderr: int | None = None
+    ) -> None:
         mine, theirs = (-1, stderr) if stderr is not None else os.pipe()
-        self.process = subprocess.Popen(command, stderr=theirs, stdin=subprocess.DEVNULL)
+        command = [sys.executable, "-m", *module]
+        self.process = subprocess.Popen(
+            command, env=os.environ | (environment or {}), stderr=theirs, stdin=subprocess.DEVNULL
+        )
         if mine >= 0:
             os.close(theirs)
             self.nursery.start_soon(self._read, trio.lowlevel.FdStream(mine))
-            self.address = (await self.event("listening"))["address"]
-            await self.event("link-up", many=len(self.servers))
 
     async def _read(self, stream: trio.lowlevel.FdStream) -> None:
         rest = b""
--- a/tests/relayrig.py
+++ b/tests/relayrig.py
@@ -1,9 +1,13 @@
-"""An edge proxy on the platform in memory: callers, core servers and the event bus do as the test says."""
+"""An edge proxy on the platform: callers, core servers and the event bus do as the test says.
+
+In memory and virtual time, or on loopback sockets, where the instance's turns and each dial wait for the
+test: what comes between two turns then comes there every time.
+"""
 
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -11,12 +15,14 @@
 import trio
 
 from valverouter.days.virtual import EPOCH, MemoryPlace, MemorySurroundings
+from valverouter.edge.surroundings import Handler, Sockets
 from valverouter.relayedge.proxy import RelayProxy
 from valverouter.relaywire import isup
 from valverouter.relaywire.lines import Line, LineReader
 from valverouter.terms.platform import Platform, platform
 
 DESCRIPTION = "9d41c07a5be2f318\r\nm=audio 31000 RTP/AVP 0 \u00e4\r\n"
+FIGURES = "dest:0;width:1;via:-1"
 SETTINGS: dict[str, Any] = {
     "categories": [
         {"name": "voice", "objectiveUs": 1_500_000, "deadlineUs": 9_000_000},
@@ -52,6 +58,66 @@
     }
 
 
+def set_up(id_: str, figures: str = FIGURES, left: int = 5_000, traffic_type: str = "voice") -> bytes:
+    told = {
+        isup.CLASS: traffic_type.encode(),
+        isup.LEFT: b"%d" % left,
+        isup.CALLED: b"7f3a9c21e0b4d655",
+        isup.FIGURES: figures.encode(),
+        isup.DESCRIPTION: DESCRIPTION.encode(),
+    }
+    return isup.write(isup.IAM, id_, told)
+
+
+class Loopback(Sockets):
+    """Loopback sockets under the rig's names: what serves at `s0:1` has some free port of this machine.
+
+    As an edge proxy's surroundings: no turn begins while `turns` is not set, no dial to a name in `dials`
+    ends before its event is.
+    """
+
+    def __init__(self, ports: dict[str, str] | None = None) -> None:
+        super().__init__()
+        self.ports = {} if ports is None else ports
+        self.turns = trio.Event()
+        self.turns.set()
+        self.dials: dict[str, trio.Event] = {}
+        # Once, where a turn begins, with nothing else of this process run before the turn's first event.
+        self.at_turn: Callable[[], None] | None = None
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        if address in self.dials:
+            await self.dials[address].wait()
+        if address not in self.ports:
+            raise ConnectionRefusedError(f"nobody serves at {address}")
+        return await super().connect(self.ports[address])
+
+    async def serve(
+        self,
+        address: str,
+        handler: Handler,
+        task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+        refuse: Handler | None = None,
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            self.ports[address] = await nursery.start(super().serve, "127.0.0.1:0", handler)
+            task_status.started(address)
+
+    async def turn(self) -> None:
+        await super().turn()
+        await self.turns.wait()
+        at_turn, self.at_turn = self.at_turn, None
+        if at_turn is not None:
+            at_turn()
+
+    def hold(self) -> None:
+        """No turn begins until `go`; whatever else the instance does goes on."""
+        self.turns = trio.Event()
+
+    def go(self) -> None:
+        self.turns.set()
+
+
 class Client:
     """One caller's connection; `heard` keeps its messages with their moments."""
 
@@ -69,15 +135,10 @@
             pass
         self.ended = trio.current_time()
 
-    async def ask(self, id_: str, figures: str = "dest:0;width:1;via:-1", left: int = 5_000) -> None:
-        told = {
-            isup.CLASS: b"voice",
-            isup.LEFT: b"%d" % left,
-            isup.CALLED: b"7f3a9c21e0b4d655",
-            isup.FIGURES: figures.encode(),
-            isup.DESCRIPTION: DESCRIPTION.encode(),
-        }
-        await self.stream.send_all(isup.write(isup.IAM, id_, told))
+    async def ask(
+        self, id_: str, figures: str = FIGURES, left: int = 5_000, traffic_type: str = "voice"
+    ) -> None:
+        await self.stream.send_all(set_up(id_, figures, left, traffic_type))
 
     async def release(self, id_: str) -> None:
         await self.stream.send_all(isup.release(id_, 16))
@@ -146,12 +207,15 @@
 
 
 class Bus:
-    """The event bus. `silent`: takes polls and says nothing more; `asked` keeps the numbers asked from."""
+    """The event bus. `silent`: takes polls and says nothing more; `hurried`: answers each at once, whether it
+    has news or none; `asked` keeps the numbers asked from.
+    """
 
     def __init__(self) -> None:
         self.events: list[dict[str, Any]] = []
         self.asked: list[tuple[float, int]] = []
         self.silent = False
+        self.hurried = False
         self._news = trio.Event()
 
     def tell(self, *hosts: dict[str, Any]) -> None:
@@ -172,7 +236,7 @@
                 connection.next_event()
                 if self.silent:
                     await trio.sleep_forever()
-                if len(self.events) <= after:
+                if len(self.events) <= after and not self.hurried:
                     with trio.move_on_after(int(query["hold"]) / 1e3):
                         await self._news.wait()
                 body = json.dumps({"offset": len(self.events), "batch": self.events[after:]}).encode()
@@ -185,14 +249,25 @@
 
 
 class Rig:
-    def __init__(self, nursery: trio.Nursery, names: list[str]) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        names: list[str],
+        network: MemoryPlace | Loopback | None = None,
+        settings: dict[str, Any] | None = None,
+    ) -> None:
         self.nursery = nursery
-        self.network = MemoryPlace()
+        self.network = network or MemoryPlace()
         self.bus = Bus()
         self.servers = {name: Server(self, name) for name in names}
         self.bus.events.append(event(1, [host(name, at) for at, name in enumerate(names)], whole=True))
-        self.told = configuration(list(self.bus.events))
-        self.edge = RelayProxy(self.platform(), MemorySurroundings(self.network))
+        self.told = configuration(list(self.bus.events)) | {"settings": settings or SETTINGS}
+        self.place = (
+            Loopback(self.network.ports)
+            if isinstance(self.network, Loopback)
+            else MemorySurroundings(self.network)
+        )
+        self.edge = RelayProxy(self.platform(), self.place)
 
     def platform(self) -> Platform:
         return platform(json.dumps(self.told).encode())
@@ -210,13 +285,27 @@
 
 
 @asynccontextmanager
-async def relayed(*names: str) -> AsyncIterator[Rig]:
+async def relayed(
+    *names: str, network: Loopback | None = None, settings: dict[str, Any] | None = None
+) -> AsyncIterator[Rig]:
+    """A rig that is up: in memory, or on loopback sockets where it is given a network of these."""
     async with trio.open_nursery() as nursery:
-        rig = Rig(nursery, list(names) or ["s0", "s1"])
+        rig = Rig(nursery, list(names) or ["s0", "s1"], network, settings)
         await nursery.start(rig.network.serve, "bus:1", rig.bus.serve)
         for server in rig.servers.values():
             await nursery.start(server.run)
         await nursery.start(rig.edge.run)
-        await trio.sleep(0.1)
+        if network is None:
+            await trio.sleep(0.1)
+        else:
+            await rig.until(
+                lambda: (
+                    len(rig.edge._links) == len(rig.servers)
+                    and all(
+                        link.takes and not getattr(link, "_connecting", 0)
+                        for link in rig.edge._links.values()
+                    )
+                )
+            )
         yield rig
         nursery.cancel_scope.cancel()
--- a/tests/test_relayedge.py
+++ b/tests/test_relayedge.py
@@ -18,6 +18,7 @@
 from trio.testing import MockClock
 
 from tests.relayrig import DESCRIPTION, WALL_MS, answer, configuration, host, relayed, release
+from valverouter.days.virtual import MemoryPlace
 from valverouter.relaywire import isup
 from valverouter.terms.options import MalformedInputError
 from valverouter.terms.platform import platform
@@ -103,6 +104,7 @@
         client, server = await rig.client(), rig.servers["s0"]
         await client.ask(A)
         await rig.until(lambda: client.said == [ANSWERED])
+        assert isinstance(rig.network, MemoryPlace)
         rig.network.serving["s0:1"] = lambda stream: None
         server.say = lambda *_: trio.lowlevel.checkpoint()  # type: ignore[method-assign]
         gone = trio.current_time()
--- a/valverouter/edge/listener.py
+++ b/valverouter/edge/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import Any
 
@@ -38,7 +39,11 @@
 
 
 class Caller:
-    """One caller's connection. `dialogs` are its open and standing ones; each leaves when it is over."""
+    """One caller's connection. `dialogs` are its open and standing ones; each leaves when it is over.
+
+    `waiting` are its set-ups that were read and have not had their turn, by id; `taken_back` those of them
+    that it gave up meanwhile. Both leave with that turn.
+    """
 
     def __init__(
         self,
@@ -49,7 +54,10 @@
         departures: Departures | None = None,
     ) -> None:
         self.dialogs: set[str] = set()
+        self.waiting: Counter[str] = Counter()
+        self.taken_back: set[str] = set()
         self.name = ""
+        self._lost = False
         self._stream = stream
         self._terms = terms
         self._inbox = inbox
@@ -63,6 +71,39 @@
         """Whether it was told that it may come back for its dialogs, and can."""
         return self._welcome.epoch > 0 and self._session.version >= 2
 
+    @property
+    def is_there(self) -> bool:
+        """Whether somebody may still wait for its dialogs. Asked where an attempt begins: a close may lie
+        behind bytes that nobody has read yet, or wait in the kernel while this process is busy."""
+        return self.resumes or not (self.is_lost or getattr(self._stream, "has_left", False))
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether this connection is over, as far as its reader knows."""
+        return self._lost or self._scope.cancel_called
+
+    def asks(self, message: setup.OfLeg, came_at: int = 0) -> None:
+        """Hands a message of this caller to the instance. One that takes a dialog back does not wait behind
+        the others, nor does the dialog's own set-up get its turn as if nothing had been said."""
+        if isinstance(message, setup.Setup):
+            self.waiting[message.dialog] += 1
+        elif isinstance(message, setup.Cancel):
+            if message.dialog in self.waiting:
+                self.taken_back.add(message.dialog)
+            if message.dialog in self.dialogs:
+                self._inbox.put_left(FromCaller(self, message, came_at))
+                return
+        self._inbox.put(FromCaller(self, message, came_at))
+
+    def has_turn(self, dialog_id: str) -> bool:
+        """A set-up of its has its turn; whether it is still wanted."""
+        wanted = dialog_id not in self.taken_back
+        self.waiting[dialog_id] -= 1
+        if self.waiting[dialog_id] <= 0:
+            del self.waiting[dialog_id]
+            self.taken_back.discard(dialog_id)
+        return wanted
+
     def send(self, message: Any) -> None:
         """Queues an answer; a caller that reads too slowly to take it loses its connection."""
         if self._scope.cancel_called:
@@ -95,9 +136,11 @@
                     pass
                 except trio.TooSlowError:
                     self._silent()
+                self._lost = True
                 nursery.cancel_scope.cancel()
+        self._lost = True
         self._scope.cancel()
-        self._inbox.put(CallerLost(self))
+        self._inbox.put_left(CallerLost(self))
 
     def _silent(self) -> None:
         log.warning("caller-silent", why="no hello in time")
@@ -127,7 +170,7 @@
                     elif isinstance(message, NotUnderstood):
                         self.send(message)
                     else:
-                        self._inbox.put(FromCaller(self, message))
+                        self.asks(message)
             self._session.end()
 
 
@@ -137,6 +180,8 @@
 
     def __init__(self, name: str, back_by: int) -> None:
         self.dialogs = set()
+        self.waiting = Counter()
+        self.taken_back = set()
         self.name = name
         self.back_by = back_by
 
@@ -144,6 +189,11 @@
     def resumes(self) -> bool:
         return True
 
+    @property
+    def is_there(self) -> bool:
+        """Its dialogs go on until it has had its time to come back."""
+        return True
+
     def send(self, message: Any) -> None:
         pass
 
--- a/valverouter/edge/mail.py
+++ b/valverouter/edge/mail.py
@@ -12,15 +12,18 @@
 
 
 class Inbox:
-    """Events in their order of arrival; word of the server list goes ahead of all else.
+    """Events in their order of arrival; word of the server list goes ahead of all else, and after it word
+    that a caller has left.
 
     A server told draining must get nothing new from that moment, so the list's word does not wait behind what
-    came before it. Readers wait while `most` events are here: a slow instance holds its peers, not its
-    memory.
+    came before it. Nor does a caller's cancel, or the loss of its connection: an attempt begun for a caller
+    that has gone is one too many, however full this is. Readers wait while `most` events are here: a slow
+    instance holds its peers, not its memory.
     """
 
     def __init__(self, most: int = 4_096) -> None:
         self._first: deque[Any] = deque()
+        self._left: deque[Any] = deque()
         self._rest: deque[Any] = deque()
         self._most = most
         self._waits: trio.Event | None = None
@@ -28,21 +31,29 @@
         self._wake = trio.CancelScope()
 
     def __len__(self) -> int:
-        return len(self._first) + len(self._rest)
+        return len(self._first) + len(self._left) + len(self._rest)
 
     def put(self, event: Any) -> None:
-        self._rest.append(event)
-        if self._waits is not None:
-            self._waits.set()
+        self._puts(self._rest, event)
 
     def put_first(self, event: Any) -> None:
-        self._first.append(event)
+        """Word of the server list."""
+        self._puts(self._first, event)
+
+    def put_left(self, event: Any) -> None:
+        """Word that a caller waits no longer."""
+        self._puts(self._left, event)
+
+    def _puts(self, queue: deque[Any], event: Any) -> None:
+        queue.append(event)
         if self._waits is not None:
             self._waits.set()
 
     def take(self) -> Any | None:
         if self._first:
             return self._first.popleft()
+        if self._left:
+            return self._left.popleft()
         if not self._rest:
             return None
         event = self._rest.popleft()
@@ -60,7 +71,7 @@
 
     async def arrived(self, until: float) -> None:
         """Until something is here, or trio's clock says `until` or a moment asked for before."""
-        if self._first or self._rest:
+        if len(self):
             return
         # One scope for many waits: most moments asked for are the one asked for last, and a scope for each
         # wait costs as much as the turn it waits for.
@@ -182,6 +193,11 @@
             self._bytes -= len(found[0])
         return found is not None
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether the stream has taken all that was put here."""
+        return not (self._waiting or self.in_hand or self._rest)
+
     def holds(self, key: Hashable) -> bool:
         return key in self._waiting
 
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -74,6 +74,8 @@
 # For so long a refused caller may take to read why; refusals are told no oftener than once in as long a time.
 REFUSAL_S = 0.1
 REFUSALS_TOLD = 1_000_000_000
+# For so long the end waits for callers that go on asking, or do not read what they are told.
+LAST_WORDS = 50_000_000
 # For so long the end waits for a disk that hangs.
 LAST_FILE_S = 2.0
 # From so many alarms on those of legs long ended are taken out: a caller may ask for an hour of no-answer
@@ -227,6 +229,11 @@
         """Whether an instance that is to stop may end."""
         return not self.open_dialogs
 
+    @property
+    def _is_quiet(self) -> bool:
+        """Whether nothing waits here to be handled, read or written."""
+        return not len(self._inbox)
+
     def _makes_room(self) -> bool:
         """Whether another caller's connection was given up for the one that comes."""
         return False
@@ -236,9 +243,7 @@
         await Caller(stream, self.terms.links, self._inbox, welcome, self._departures).run()
 
     async def _serve(self, stream: trio.abc.Stream) -> None:
-        # Links come before callers: without one no caller is served, and one lost must be made again.
-        room = self._surroundings.descriptors() - KEPT_DESCRIPTORS - 2 * len(self._links)
-        if self._callers >= min(self.terms.links.callers, room) and not self._makes_room():
+        if self._callers >= self._callers_most and not self._makes_room():
             await self._refuse(stream)
             return
         self._callers += 1
@@ -247,6 +252,13 @@
         finally:
             self._callers -= 1
 
+    @property
+    def _callers_most(self) -> int:
+        """How many callers' connections there is room for."""
+        # Links come before callers: without one no caller is served, and one lost must be made again.
+        room = self._surroundings.descriptors() - KEPT_DESCRIPTORS - 2 * len(self._links)
+        return min(self.terms.links.callers, room)
+
     async def _refuse(self, stream: trio.abc.Stream) -> None:
         """No room for another caller's connection: it hears so at once, and when to come back."""
         self._refused += 1
@@ -290,6 +302,7 @@
 
     async def _turns(self) -> None:
         stop_at: int | None = None
+        quiet = 0
         self._now = self._clock.now()
         # The decisions may have wishes before anything happens: the list, where it must be asked for.
         self._carry_out()
@@ -331,10 +344,17 @@
             self._departures.end()
             self._looked_at = now
             if self._stopping and (self._is_done or (stop_at or 0) <= self._looked_at):
+                self._departures.begin()
                 for dialog_id in list(self._dialogs):
                     self._drop(dialog_id, "stopping")
-                await trio.sleep(SETTLE_S)  # the last words leave
-                return
+                self._before_departure(now)
+                self._departures.end()
+                # What was put out has left, and what has come is answered: twice, since what the kernel has
+                # accepted meanwhile is seen only after its readers had their turn.
+                quiet = quiet + 1 if self._is_quiet else 0
+                if quiet > 1 or now >= (stop_at or 0) + LAST_WORDS:
+                    return
+                self._alarms.set(now + round(SETTLE_S * 1e9), Stop())
 
     def _is_out(self, alarm: LegOver) -> bool:
         """Whether a leg whose time is up is still out; nearly all ended long before, and need no turn."""
@@ -379,6 +399,14 @@
         for dialog_id in list(event.caller.dialogs):
             self._drop(dialog_id, "caller-gone")
 
+    def _leaves_unheard(self, caller: Caller, asked: setup.Setup) -> bool:
+        """Whether who sent a set-up has gone before its turn, connection and all; nothing is owed then."""
+        if caller.is_there and not caller.is_lost:
+            return False
+        self.tally.answers["gone-before-its-turn"] += 1
+        self._log.debug("gone-before-its-turn", dialog=asked.dialog)
+        return True
+
     def _from_server(self, event: FromServer) -> None:
         if isinstance(event.message, setup.Reported):
             told = report_of(event.message.report) or Report()
@@ -412,6 +440,9 @@
 
     def _take(self, caller: Caller, asked: setup.Setup) -> None:
         came_at = self._came_at
+        wanted = caller.has_turn(asked.dialog)
+        if self._leaves_unheard(caller, asked):
+            return
         if asked.dialog in self._dialogs:
             caller.refuse(ProtocolError("out-of-state", f"dialog {asked.dialog!r} is open here already"))
             return
@@ -427,6 +458,9 @@
         )
         caller.dialogs.add(asked.dialog)
         self._took(taken)
+        if not wanted:
+            self._answer(taken, setup.Aborted(asked.dialog, asked.leg, "cancelled"))
+            return
         if came_at + left <= self._now:
             self._answer(taken, setup.Aborted(asked.dialog, asked.leg, "no-time"))
             return
@@ -534,6 +568,12 @@
         now = self._now
         leg, taken.leg = taken.legs, taken.legs
         taken.legs += 1
+        if not taken.caller.is_there:
+            # The one place where an attempt begins, so the one that asks. Its reader's word is on the way.
+            taken.leg = None
+            self._drop(dialog_id, "caller-gone")
+            self._teach(dialog_id, leg, wish.server, Outcome.NOT_SENT)
+            return
         taken.link = link = self._links.get(wish.server)
         if link is None or not link.wanted or not link.takes or link.knows((dialog_id, leg)):
             # Proven not to have run; handed in as a turn of its own, so that no course resumes inside
--- a/valverouter/edge/surroundings.py
+++ b/valverouter/edge/surroundings.py
@@ -10,6 +10,7 @@
 import gc
 import os
 import resource
+import select
 import socket
 import time
 from collections.abc import Awaitable, Callable, Iterator
@@ -28,6 +29,8 @@
 # What accept says when this process or the machine has nothing left for another connection.
 SHORT = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS))
 KEEPALIVE_PROBES = 3
+# What poll says of a far side that has closed; Linux alone knows it apart from bytes to be read.
+LEFT = getattr(select, "POLLRDHUP", 0)
 # Before accepting is tried again then.
 AGAIN_S = 0.1
 
@@ -147,6 +150,18 @@
         except OSError:
             return False
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the far side has closed, also where bytes that it sent before lie unread."""
+        if self._socket.fileno() < 0:
+            return True
+        asked = select.poll()
+        asked.register(self._socket, LEFT)
+        try:
+            return any(told & (LEFT | select.POLLHUP | select.POLLERR) for _, told in asked.poll(0))
+        except OSError:
+            return False  # where it can't be asked, the reader tells
+
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
         await trio.lowlevel.checkpoint()
         rest = memoryview(data)
@@ -288,8 +303,10 @@
 
     _boot = ""
 
-    def __init__(self, silence: int = 0) -> None:
+    def __init__(self, silence: int = 0, most: int = 0) -> None:
+        """`most`: descriptors that may be held, where more is told than the kernel's own limit; 0: that."""
         self._silence = silence
+        self._most = most
         # The monotonic clock counts from the boot that this names; without it only wall time is left.
         with suppress(OSError):
             self._boot = Path("/proc/sys/kernel/random/boot_id").read_text("ascii").strip()
@@ -323,7 +340,8 @@
         return UdpSocket(address)
 
     def descriptors(self) -> int:
-        return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        return min(limit, self._most) if self._most else limit
 
     async def turn(self) -> None:
         await trio.lowlevel.checkpoint()
--- a/valverouter/relayedge/__main__.py
+++ b/valverouter/relayedge/__main__.py
@@ -11,12 +11,19 @@
 import sys
 from pathlib import Path
 
+if __name__ == "__main__":
+    # Before all else is imported: until a handler of ours is there, SIGHUP's own action ends the process.
+    EARLY: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, frame: EARLY.append(number))
+
 import structlog
 import trio
 
 from valverouter.edge import logs
 from valverouter.edge.surroundings import Sockets, long_lived
 from valverouter.relayedge.proxy import RelayProxy
+from valverouter.relaywire import bus
+from valverouter.signalling.framing import ProtocolError
 from valverouter.terms import platform
 from valverouter.terms.edge import Log
 from valverouter.terms.options import MalformedInputError
@@ -29,8 +36,9 @@
 log = structlog.get_logger()
 
 
-async def serve(path: Path, told: platform.Platform) -> None:
-    proxy = RelayProxy(told, Sockets(silence=60 * 10**9))
+async def serve(path: Path, told: platform.Platform, early: list[int]) -> None:
+    """`early`: SIGHUPs that came before anybody could act on them, after the file was read perhaps."""
+    proxy = RelayProxy(told, Sockets(silence=60 * 10**9, most=told.limits.sockets))
     with trio.open_signal_receiver(signal.SIGHUP, signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
             await nursery.start(proxy.run)
@@ -43,6 +51,8 @@
                     else:
                         nursery.start_soon(end, proxy)
 
+            if early:
+                nursery.start_soon(reread, proxy, path)
             nursery.start_soon(listen)
             await proxy.ended.wait()
             nursery.cancel_scope.cancel()
@@ -58,27 +68,35 @@
     """SIGHUP: a file that can't be read leaves the old one acting, and is tried again."""
     for _ in range(TIMES):
         try:
-            proxy.reconfigure(platform.platform(path.read_bytes()))
+            proxy.reconfigure(read(path))
             return
-        except (OSError, ValueError) as error:
+        except (OSError, MalformedInputError) as error:
             why = str(error)
         await trio.sleep(AGAIN_S)
     log.error("configuration-refused", path=str(path), why=why)
 
 
-def main() -> int:
-    # Until the loop runs, the signal's own action would end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+def read(path: Path) -> platform.Platform:
+    """The configuration, whole and checked, the events in it too; OSError, MalformedInputError."""
+    told = platform.platform(path.read_bytes())
+    try:
+        bus.batch(told.known)
+    except ProtocolError as error:
+        raise MalformedInputError(f"known: {error}") from None
+    return told
+
+
+def main(early: list[int]) -> int:
     named = os.environ.get(VARIABLE, "")
     try:
-        told = platform.platform(Path(named).read_bytes())
+        told = read(Path(named))
     except (OSError, MalformedInputError) as error:
         print(f"valverouter: {VARIABLE}={named}: {error}", file=sys.stderr)
         return UNUSABLE
     logs.set_up(Log())
     failed: list[str] = []
     try:
-        trio.run(serve, Path(named), told)
+        trio.run(serve, Path(named), told, early)
     except* OSError as errors:
         failed = [str(error) for error in errors.exceptions]
     if failed:
@@ -87,4 +105,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(EARLY))
--- a/valverouter/relayedge/buslink.py
+++ b/valverouter/relayedge/buslink.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import msgspec
 import structlog
 import trio
 
@@ -12,7 +11,7 @@
 from valverouter.edge.surroundings import READ, Surroundings
 from valverouter.interface import ListScope
 from valverouter.relayedge import words
-from valverouter.relaywire.bus import Batch, BusSession
+from valverouter.relaywire.bus import Batch, BusSession, batch
 from valverouter.signalling.framing import ProtocolError
 from valverouter.signalling.serverlist import Replica, Row
 from valverouter.terms import platform
@@ -44,7 +43,7 @@
 
     def learn(self, known: bytes) -> None:
         """Events of a configuration, whole."""
-        self._heard(msgspec.json.decode(known, type=Batch))
+        self._heard(batch(known))
 
     def move(self, address: str) -> None:
         """The event bus is elsewhere now; its numbers go on."""
@@ -81,15 +80,23 @@
         async with stream:
             try:
                 while True:
+                    asked_at, after = trio.current_time(), self.number
                     with trio.fail_after((hold + platform.BUS_LATE) / 1e9):
-                        await stream.send_all(session.ask(self.number, hold // 10**6))
-                        batch = None
-                        while batch is None:
-                            batch = session.receive(await stream.receive_some(READ))
-                    self._heard(batch)
+                        await stream.send_all(session.ask(after, hold // 10**6))
+                        heard = None
+                        while heard is None:
+                            heard = session.receive(await stream.receive_some(READ))
+                    self._heard(heard)
                     self.is_up, self.tries = True, 0
+                    if heard.offset < after:
+                        # Its numbers go on, says the platform. Taken up from there, events told once would
+                        # come again, and a server that is draining be in service for as long as that takes.
+                        log.warning("bus-behind", bus=self._address, number=after, told=heard.offset)
                     if not session.may_ask_again:
                         return "closed"
+                    if self.number == after and trio.current_time() - asked_at < hold / 2e9:
+                        # Nothing, and at once: asked on without a pause it would be asked all the time.
+                        await trio.sleep(platform.BUS_AGAIN / 1e9)
             except ProtocolError as error:
                 return f"{error.code}: {error}"
             except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -97,8 +104,8 @@
             except trio.TooSlowError:
                 return "silent"
 
-    def _heard(self, batch: Batch) -> None:
-        for event in batch.batch:
+    def _heard(self, heard: Batch) -> None:
+        for event in heard.batch:
             if event.offset <= self.number:
                 continue
             self.number = event.offset
@@ -108,4 +115,4 @@
             rows = [words.row(host, now) for host in event.topology.hosts]
             scope = ListScope.WHOLE if event.topology.whole else ListScope.CHANGES
             self._inbox.put_first(ListHeard(scope, rows))
-        self.number = max(self.number, batch.offset)
+        self.number = max(self.number, heard.offset)
--- a/valverouter/relayedge/callers.py
+++ b/valverouter/relayedge/callers.py
@@ -10,10 +10,8 @@
 import trio
 
 from valverouter.edge.clock import Clock
-from valverouter.edge.events import FromCaller
 from valverouter.edge.listener import Caller
 from valverouter.edge.mail import Departures, Inbox, Overfull
-from valverouter.edge.surroundings import READ
 from valverouter.interface import Deployment
 from valverouter.relayedge import words
 from valverouter.relaywire import isup
@@ -24,6 +22,10 @@
 
 log = structlog.get_logger()
 
+# So many set-ups of one connection may wait for their turn before it waits for room among all others; what is
+# read of it at a time, which is how far that can be passed.
+HELD = 8
+READ_CALLER = 16 * 1024
 # Many alike are told by one line in as long a time.
 TOLD_S = 10.0
 
@@ -82,14 +84,23 @@
         self._fresh.pop(caller, None)
         self._useful.pop(caller, None)
 
+    @property
+    def many(self) -> int:
+        """How many still are there."""
+        return sum(not one.is_lost for one in chain(self._fresh, self._useful))
+
     def idle(self) -> RelayCaller | None:
         """Whom closing loses nothing, the least useful first."""
         return next((one for one in chain(self._fresh, self._useful) if one.is_idle), None)
 
+    def all_quiet(self) -> bool:
+        """Whether each has had what it is owed, and nothing of any lies unread."""
+        return all(one.is_quiet for one in chain(self._fresh, self._useful))
+
     def latest(self) -> RelayCaller | None:
         """Who was heard last, of those that still are there."""
         heard = chain(reversed(self._useful), reversed(self._fresh))
-        return next((one for one in heard if one.is_open), None)
+        return next((one for one in heard if not one.is_lost), None)
 
 
 class RelayCaller(Caller):
@@ -115,8 +126,6 @@
     ) -> None:
         super().__init__(stream, terms, inbox, Welcome(0, "", 0), departures)
         self.useful = False
-        # Set-ups that were read and have not had their turn.
-        self.waiting = 0
         self._clock = clock
         self._deployment = deployment
         self._widths = widths
@@ -126,17 +135,21 @@
         self._seldom = seldom
         self._reader = isup.MessageReader()
 
-    @property
-    def is_open(self) -> bool:
-        return not self._scope.cancel_called
-
     @property
     def is_idle(self) -> bool:
         """Whether closing it loses nothing. A set-up that waits for its turn, or to be read, is in no book
         yet: under a crowd some were lost with connections that were closed to make room."""
-        if not self.is_open or self.dialogs or self.waiting or self._reader.is_half:
+        if self.is_lost or self.dialogs or self._reader.is_half:
             return False
-        return not getattr(self._stream, "has_unread", False)
+        return not self.waiting and not getattr(self._stream, "has_unread", False)
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether all that it sent was read and had its turn, and all that it was sent has left."""
+        if self.is_lost:
+            return True
+        unread = getattr(self._stream, "has_unread", False)
+        return not (self.waiting or unread) and self._outbox.is_empty
 
     def close(self) -> None:
         # At once: a busy loop comes to its task some time later, and what arrives meanwhile would be lost.
@@ -176,10 +189,9 @@
         limit = self._terms.hello_within / 1e9
         half = False
         with trio.fail_after(limit) as patience:
-            while data := await stream.receive_some(READ):
+            while data := await stream.receive_some(READ_CALLER):
                 # A dialog's time runs from its last byte, not from when its turn comes.
                 came_at = self._clock.now()
-                await self._inbox.room()
                 for message in self._reader.feed(data):
                     if self._scope.cancel_called:
                         return
@@ -190,6 +202,10 @@
                     patience.deadline = trio.current_time() + limit
                 elif self.useful and not half:
                     patience.deadline = float("inf")
+                if len(self.waiting) >= HELD:
+                    # Who has asked for little is read on, however full the instance is: what it says next may
+                    # be that it gives up, and its end would go unseen.
+                    await self._inbox.room()
 
     def _heard(self, message: isup.Message, came_at: int) -> None:
         if message.type == isup.TEST:
@@ -197,7 +213,9 @@
             cause = bytes((int(self._passes()),))
             self.write(isup.write(isup.TESTED, message.id, {isup.CAUSE: cause}))
         elif message.type == isup.REL:
-            self._inbox.put(FromCaller(self, setup.Cancel(message.id), came_at))
+            if message.id in self.waiting:
+                self._answered.add(message.id)
+            self.asks(setup.Cancel(message.id), came_at)
         elif message.type == isup.IAM:
             try:
                 if message.id in self._answered:
@@ -211,8 +229,7 @@
                 return
             if isinstance(asked, words.Asked):
                 self.useful = True
-                self.waiting += 1
-                self._inbox.put(FromCaller(self, asked, came_at))
+                self.asks(asked, came_at)
             else:
                 self._inbox.put(ToldStanding(self, asked))
         elif message.type not in (isup.RLC, isup.ACM):
--- a/valverouter/relayedge/links.py
+++ b/valverouter/relayedge/links.py
@@ -26,6 +26,8 @@
 # For so long the end of a dialog that is not known here is kept, for a caller that still has to tell of it.
 ENDS_KEPT_S = 15.0
 ENDS_MOST = 1_000
+# For so long after the word that closed a leg a second copy of it is reckoned with.
+COPIES_COME_S = 0.25
 
 
 class UnknownEnds:
@@ -51,11 +53,15 @@
 
 
 class _Line:
-    """One connection. `open` are the set-ups on it that have no answer, by id."""
+    """One connection. `open` are the set-ups on it that have no answer, by id; `closed` the dialogs whose leg
+    here was refused or given up lately, with the moment: a second copy of that word may still come, and would
+    pass for the answer to the same dialog's next leg. Emptied by time.
+    """
 
     def __init__(self, outbox: Outbox) -> None:
         self.outbox = outbox
         self.open: dict[str, tuple[str, int]] = {}
+        self.closed: dict[str, float] = {}
         self.scope = trio.CancelScope()
         self.why = ""
         self.heard_at = trio.current_time()
@@ -64,6 +70,20 @@
         self.why = self.why or why
         self.scope.cancel()
 
+    def closes(self, id_: str) -> None:
+        now = trio.current_time()
+        self.closed.pop(id_, None)
+        self.closed[id_] = now
+        while (first := next(iter(self.closed))) != id_ and self.closed[first] <= now - COPIES_COME_S:
+            del self.closed[first]
+
+    def may_take(self, id_: str) -> bool:
+        """Whether no word on a former leg of that dialog can be mistaken here for one on its next."""
+        return (
+            id_ not in self.open
+            and self.closed.get(id_, -COPIES_COME_S) <= trio.current_time() - COPIES_COME_S
+        )
+
 
 class RelayLink(Link):
     """One server's link on the platform.
@@ -107,7 +127,10 @@
         return not self.ended and not self._why and (bool(self._lines) or self._connecting > 0)
 
     def knows(self, key: tuple[str, int]) -> bool:
-        return key in self.legs
+        # Or its last leg here ended so lately that no connection can tell the words on both apart.
+        return key in self.legs or (
+            bool(self._lines) and not any(line.may_take(key[0]) for line in self._lines)
+        )
 
     def stands(self, key: tuple[str, int]) -> None:
         """A dialog that its caller says stands here."""
@@ -139,7 +162,8 @@
     def set_up(self, key: tuple[str, int], message: Any) -> None:
         self.legs[key] = False
         if self._lines:
-            self._write_setup(min(self._lines, key=lambda line: len(line.open)), key, message)
+            able = [line for line in self._lines if line.may_take(key[0])]
+            self._write_setup(min(able, key=lambda line: len(line.open)), key, message)
         else:
             self._early[key] = message
 
@@ -163,6 +187,7 @@
         line = next((line for line in self._lines if line.open.get(message.dialog) == leg), None)
         if line is not None:
             del line.open[message.dialog]
+            line.closes(message.dialog)
             self._put(line, lines.release(message.dialog, words.ENDED), left=left)
             return
         self._release(message.dialog)
@@ -351,6 +376,7 @@
     def _released(self, line: _Line, message: lines.Line) -> None:
         id_ = message.id
         if (key := line.open.pop(id_, None)) is not None:
+            line.closes(id_)
             said = words.refusal(message, key[1])
             if said is not None:
                 self._inbox.put(FromServer(self, said))
--- a/valverouter/relayedge/proxy.py
+++ b/valverouter/relayedge/proxy.py
@@ -17,6 +17,7 @@
 from valverouter.relayedge.callers import AnsweredIds, Connected, RelayCaller, Seldom, ToldStanding
 from valverouter.relayedge.links import RelayLink, UnknownEnds
 from valverouter.signalling import setup
+from valverouter.terms.options import MalformedInputError
 from valverouter.terms.platform import Platform
 
 log = structlog.get_logger()
@@ -41,7 +42,12 @@
         self._log.info("started", limits=msgspec.structs.asdict(platform.limits), seed=platform.terms.seed)
 
     def reconfigure(self, platform: Platform) -> None:
-        """A new configuration: the event bus's address and events act, all else waits for a new start."""
+        """A new configuration: the event bus's address and events act, all else waits for a new start.
+
+        MalformedInputError, and nothing of it acts, where it is another edge proxy's.
+        """
+        if platform.terms.name != self.terms.name:
+            raise MalformedInputError(f"name: {platform.terms.name!r}, this is {self.terms.name!r}")
         assert isinstance(self._list, BusLink)
         self._list.learn(platform.known)
         self._list.move(platform.terms.list_service)
@@ -69,6 +75,11 @@
         # Ends are passed on as long as that is possible.
         return not self._dialogs
 
+    @property
+    def _is_quiet(self) -> bool:
+        # A request that the kernel has taken for us is taken: ended with it unread, it would be lost.
+        return super()._is_quiet and self._connected.all_quiet()
+
     async def _talk(self, stream: trio.abc.Stream) -> None:
         caller = RelayCaller(
             stream,
@@ -105,6 +116,19 @@
         caller.close()
         return True
 
+    def _listed(self, heard: ListHeard) -> None:
+        for row in heard.rows:
+            before = self._incarnations.incarnation(row.server)
+            link = self._links.get(row.server)
+            if isinstance(link, RelayLink) and before is not None and before < row.incarnation:
+                # Another process under that name: it knows nothing of what stood at the one before.
+                link.restarted(row.incarnation * 10**6)
+        super()._listed(heard)
+        # While the list was away callers may have taken the descriptors that its servers need now.
+        for _ in range(self._connected.many - self._callers_most):
+            if not self._makes_room():
+                break
+
     async def _refuse(self, stream: trio.abc.Stream) -> None:
         self._refused += 1
         self._makes_room()
@@ -116,11 +140,6 @@
 
     # Dialogs that stand belong to no connection
 
-    def _take(self, caller: Caller, asked: setup.Setup) -> None:
-        assert isinstance(caller, RelayCaller)
-        caller.waiting -= 1
-        super()._take(caller, asked)
-
     def _caller_lost(self, event: CallerLost) -> None:
         for dialog_id in list(event.caller.dialogs):
             if not self._dialogs[dialog_id].stands:
@@ -152,10 +171,12 @@
 
     def _tell_end(self, caller: Caller, ended: setup.Ended) -> None:
         assert isinstance(caller, RelayCaller)
-        if not caller.is_open:
+        if caller.is_lost:
             latest = self._connected.latest()
             if latest is None:
-                self._untold.append((trio.current_time(), ended))
+                now = trio.current_time()
+                self._untold = [(at, one) for at, one in self._untold if at >= now - UNTOLD_S]
+                self._untold.append((now, ended))
                 return
             caller = latest
         caller.send(ended)
@@ -177,17 +198,6 @@
         asked = msgspec.structs.replace(asked, description="")
         self._dialogs[asked.dialog] = Taken(asked, told.caller, 0, leg=0, link=link, legs=1, stands=True)
 
-    # The list
-
-    def _listed(self, heard: ListHeard) -> None:
-        for row in heard.rows:
-            before = self._incarnations.incarnation(row.server)
-            link = self._links.get(row.server)
-            if isinstance(link, RelayLink) and before is not None and before < row.incarnation:
-                # Another process under that name: it knows nothing of what stood at the one before.
-                link.restarted(row.incarnation * 10**6)
-        super()._listed(heard)
-
     def _unwant(self, server: str, gone: bool) -> None:
         super()._unwant(server, gone)
         if gone and (link := self._links.get(server)) is not None:
--- a/valverouter/relaywire/bus.py
+++ b/valverouter/relaywire/bus.py
@@ -41,6 +41,14 @@
 _decoder = msgspec.json.Decoder(Batch)
 
 
+def batch(data: bytes | bytearray) -> Batch:
+    """Events as a configuration or an answer holds them; ProtocolError says what can't be read."""
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ProtocolError("malformed", str(error)) from None
+
+
 class BusSession:
     """One connection to the event bus. An answer is handed on whole or not at all."""
 
@@ -83,10 +91,8 @@
                 elif isinstance(event, h11.EndOfMessage):
                     if self._status != 200:
                         raise ProtocolError("refused", f"status {self._status}")
-                    return _decoder.decode(self._body)
+                    return batch(self._body)
                 elif isinstance(event, h11.ConnectionClosed):
                     raise ProtocolError("half-sent", "the event bus closed the connection")
         except h11.RemoteProtocolError as error:
             raise ProtocolError("malformed", str(error)) from None
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise ProtocolError("malformed", f"event bus: {error}") from None
--- a/valverouter/terms/platform.py
+++ b/valverouter/terms/platform.py
@@ -27,8 +27,13 @@
 USEFUL_WITHIN = 2 * SECOND
 # A server that can't be reached for so long has cut what stood there.
 CUT_AFTER = 4 * SECOND
-# After SIGTERM connections and requests go on coming for so long.
-GOES_ON = SECOND
+# After SIGTERM connections go on coming for 0.4 s at most, requests on them for 0.2 s more: those are served.
+# One that comes later than 0.7 s must have its answer before SIGKILL, which may come 0.7 s after the longest
+# no-answer time, counted as 3 s where that is longer; so from here on each is declined at once.
+GOES_ON = 650 * MS
+KILLED_AFTER, KILLED_LONGEST = 700 * MS, 3 * SECOND
+# So long before SIGKILL the last dialogs get their answer, and this process ends by itself.
+ENDS_BEFORE = 100 * MS
 
 
 class Restraints(Struct):
@@ -82,7 +87,8 @@
         hello_within=USEFUL_WITHIN,
         open_dialogs=max(1, options.limits.openCap),
         callers=max(1, told.limits.sockets // 2),
-        stop_within=max(c.deadlineUs for c in options.categories) * US,
+        stop_within=min(max(c.deadlineUs for c in options.categories) * US, KILLED_LONGEST)
+        + (KILLED_AFTER - GOES_ON - ENDS_BEFORE),
     )
     terms = EdgeTerms(
         name=told.name,
