--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -25,6 +25,7 @@
 from tests.relayrig import SETTINGS, Bus, Loopback, Rig, Server, configuration, host, relayed, release, set_up
 from valverouter.edge.surroundings import Sockets
 from valverouter.relayedge import proxy as relayproxy
+from valverouter.relayedge.links import RelayLink
 from valverouter.relaywire import isup
 from valverouter.signalling import setup
 from valverouter.terms import platform
@@ -109,6 +110,44 @@
         await rig.until(lambda: client.said == [(isup.ANM, A, -1)])
 
 
+async def test_a_server_s_close_that_crosses_a_set_up_is_a_leg_that_may_have_run() -> None:
+    # Both connections are closed as the set-up leaves on the first. Of the second that is read later, so that
+    # what the first one's end gives to release goes there, and is read by nobody.
+    async with relayed(network=Loopback()) as rig:
+        assert isinstance(rig.place, Loopback)
+        client, (s0, s1) = await rig.client(), rig.servers.values()
+        s0.answers = False
+        link = rig.edge._links["s0"]
+        assert isinstance(link, RelayLink)
+        first, second = ends_of(link, s0)
+        rig.place.hold()
+        rig.edge._inbox._most = 1
+        await client.ask(A)
+        await rig.until(lambda: len(rig.edge._inbox) == 1)
+        heard_at = link._lines[1].heard_at
+        await s0.say(second, {"type": "state", "id": B})
+        await rig.until(lambda: link._lines[1].heard_at > heard_at)  # and waits for room
+
+        def closes() -> None:
+            first.close_now()
+            second.close_now()
+
+        rig.place.at_turn = closes
+        began = time.monotonic()
+        rig.place.go()
+        await rig.until(lambda: client.said == [(isup.ANM, A, -1)])
+        waited = time.monotonic() - began
+        await rig.until(lambda: s0.of("release") == [A])
+        assert s1.of("setup") == [A] and s0.of("setup") == [] and waited >= 0.3
+
+
+def ends_of(link: RelayLink, server: Server) -> list[Any]:
+    """The server's ends of a link's connections, in the link's order."""
+    ours = [getattr(line.outbox._stream, "_socket").getsockname() for line in link._lines]  # noqa: B009
+    theirs = {getattr(stream, "_socket").getpeername(): stream for stream in server.streams}  # noqa: B009
+    return [theirs[name] for name in ours]
+
+
 # The list
 
 
--- a/valverouter/relayedge/links.py
+++ b/valverouter/relayedge/links.py
@@ -28,6 +28,8 @@
 ENDS_MOST = 1_000
 # For so long after the word that closed a leg a second copy of it is reckoned with.
 COPIES_COME_S = 0.25
+# For so long a release may lie unread on a connection that is dead: longer than it takes to tell that.
+UNREAD_S = 5.0
 
 
 class UnknownEnds:
@@ -52,16 +54,27 @@
         return found[1] if found else None
 
 
+def _note(lately: dict[str, float], id_: str, kept_s: float) -> None:
+    now = trio.current_time()
+    lately.pop(id_, None)
+    lately[id_] = now
+    while (first := next(iter(lately))) != id_ and lately[first] <= now - kept_s:
+        del lately[first]
+
+
 class _Line:
-    """One connection. `open` are the set-ups on it that have no answer, by id; `closed` the dialogs whose leg
-    here was refused or given up lately, with the moment: a second copy of that word may still come, and would
-    pass for the answer to the same dialog's next leg. Emptied by time.
+    """One connection. `open` are the set-ups on it that have no answer, by id.
+
+    `closed`: dialogs whose leg here was refused or given up lately, with the moment; a second copy of that
+    word may still come, and would pass for the answer to the same dialog's next leg. `released`: what was
+    released here lately, which dies with this connection where nobody read it. Both are emptied by time.
     """
 
     def __init__(self, outbox: Outbox) -> None:
         self.outbox = outbox
         self.open: dict[str, tuple[str, int]] = {}
         self.closed: dict[str, float] = {}
+        self.released: dict[str, float] = {}
         self.scope = trio.CancelScope()
         self.why = ""
         self.heard_at = trio.current_time()
@@ -71,11 +84,10 @@
         self.scope.cancel()
 
     def closes(self, id_: str) -> None:
-        now = trio.current_time()
-        self.closed.pop(id_, None)
-        self.closed[id_] = now
-        while (first := next(iter(self.closed))) != id_ and self.closed[first] <= now - COPIES_COME_S:
-            del self.closed[first]
+        _note(self.closed, id_, COPIES_COME_S)
+
+    def releases(self, id_: str) -> None:
+        _note(self.released, id_, UNREAD_S)
 
     def may_take(self, id_: str) -> bool:
         """Whether no word on a former leg of that dialog can be mistaken here for one on its next."""
@@ -188,6 +200,7 @@
         if line is not None:
             del line.open[message.dialog]
             line.closes(message.dialog)
+            line.releases(message.dialog)
             self._put(line, lines.release(message.dialog, words.ENDED), left=left)
             return
         self._release(message.dialog)
@@ -196,10 +209,15 @@
 
     def _release(self, dialog_id: str) -> None:
         if self._lines:
+            self._lines[0].releases(dialog_id)
             self._put(self._lines[0], lines.release(dialog_id, words.ENDED))
         else:
             self._owed[dialog_id] = words.ENDED
 
+    def _has(self, dialog_id: str) -> bool:
+        """Whether a leg of that dialog is out or stands here."""
+        return dialog_id in self._standing or any(key[0] == dialog_id for key in self.legs)
+
     def withdraw(self, key: tuple[str, int]) -> bool:
         if self._early.pop(key, None) is None:
             line = next((line for line in self._lines if line.open.get(key[0]) == key), None)
@@ -282,6 +300,7 @@
         # What is owed first: a set-up that waits may be the same dialog's next leg.
         owed, self._owed = self._owed, {}
         for dialog_id, cause in owed.items():
+            line.releases(dialog_id)
             self._put(line, lines.release(dialog_id, cause))
         early, self._early = self._early, {}
         for key, message in early.items():
@@ -295,8 +314,11 @@
         sent = frozenset(line.open.values()) - unsent
         for key in line.open.values():
             self.legs.pop(key, None)
-        for dialog_id, _ in sorted(sent):
-            # Its answer may have been what was spoilt: then it stands there, and nobody would ever end it.
+        # Its answer may have been what was spoilt: then it stands there, and nobody would ever end it. What
+        # was released on this connection shortly before may never have been read: with both connections
+        # closed at once, the first one's releases went to the second, and with that one.
+        again = [dialog_id for dialog_id in line.released if not self._has(dialog_id)]
+        for dialog_id in sorted({dialog_id for dialog_id, _ in sent}.union(again)):
             self._release(dialog_id)
         if not self._why:
             log.info("line-down", server=self.server, why=why, legs=len(line.open))
@@ -370,6 +392,8 @@
                 self._inbox.put(FromServer(self, said))
         elif message.type == "release":
             self._released(line, message)
+        elif message.type == "released":
+            line.released.pop(id_, None)
         elif message.type == "state" and (report := words.load(message)) is not None:
             self._inbox.put(FromServer(self, setup.Reported(report)))
 
