--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -247,6 +247,21 @@
         await back.next(setup.Provisional)
 
 
+async def test_a_set_up_whose_connection_went_before_its_turn_is_not_taken(autojump_clock: MockClock) -> None:
+    # Nobody was told that it was taken. Taken all the same, it would be nobody's: word of the end comes first.
+    async with kept() as rig:
+        caller = await rig.caller()
+        rig.nursery.start_soon(rig.surroundings.hold, SECOND)
+        await caller.send(dial())
+        await caller.stream.aclose()
+        await trio.sleep(2)
+        assert not rig.edge._dialogs
+        assert not any(server.link.all(setup.Setup) for server in rig.servers.values())
+        back = await rig.caller()
+        await back.send(setup.Resume("d1"))
+        await back.next(setup.Unknown)
+
+
 async def test_a_callers_broken_connection_costs_nothing_that_is_here(autojump_clock: MockClock) -> None:
     async with kept() as rig:
         caller = await rig.caller()
