--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -248,7 +248,7 @@
 
 
 async def test_a_set_up_whose_connection_went_before_its_turn_is_not_taken(autojump_clock: MockClock) -> None:
-    # Nobody was told that it was taken. Taken all the same, it would be nobody's: word of the end comes first.
+    # Nobody was told that it was taken; taken all the same, it would be nobody's.
     async with kept() as rig:
         caller = await rig.caller()
         rig.nursery.start_soon(rig.surroundings.hold, SECOND)
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -11,6 +11,8 @@
 import resource
 import signal
 import socket
+import subprocess
+import sys
 import time
 from contextlib import suppress
 from pathlib import Path
@@ -364,3 +366,45 @@
         one.process.send_signal(signal.SIGTERM)
         one.process.send_signal(signal.SIGHUP)
         assert await one.ended() == 0
+
+
+# Ready again
+
+# Ten seconds of the least share of a core that an edge proxy is given, a quarter.
+READY_CPU_S = 2.5
+# Rich is read by structlog where it is installed, which it is not beside the edge proxy.
+HEAVY = ("click", "hdrh", "jinja2", "lark", "lmdb", "numpy", "scipy", "simpy", "valverouter.cli")
+
+
+def processor_s(pid: int) -> float:
+    """Of a process, all its threads, since it was started."""
+    told = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(told[11]) + int(told[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def test_a_restarted_process_is_ready_within_its_time(tmp_path: Path) -> None:
+    # By the processor's time, which what else runs changes little; a long list is read on the way.
+    rows = [host(f"s{at}", at) | {"dial": f"127.0.0.1:{at + 1}"} for at in range(300)]
+    whole = {"offset": 1, "topology": {"whole": True, "hosts": rows}}
+    took = []
+    for at in range(10):
+        (folder := tmp_path / str(at)).mkdir()
+        async with drill(folder, servers=0) as one:
+            told = configuration([whole], free_port(), "127.0.0.1:1")
+            told["settings"] = SETTINGS | {
+                "extra": SETTINGS["extra"] | {"classCells": [list(range(len(rows)))] * 2}
+            }
+            told["limits"]["sockets"] = 1_024
+            await one.relay(told)
+            await (await passed(one.address)).aclose()
+            took.append(processor_s(one.process.pid))
+    assert sorted(took)[8] < READY_CPU_S, took
+
+
+def test_nothing_heavy_is_read_before_it_listens() -> None:
+    told = subprocess.run(
+        [sys.executable, "-c", "import valverouter.relayedge.__main__, sys; print(*sorted(sys.modules))"],
+        capture_output=True, text=True, timeout=60, check=True,
+    )  # fmt: skip
+    loaded = set(told.stdout.split())
+    assert "valverouter.relayedge.proxy" in loaded and not loaded & set(HEAVY)
