--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -316,6 +316,8 @@
         there = await piped(path, msgspec.json.encode(configuration([], listen, "127.0.0.1:1")))
         one.process.send_signal(signal.SIGHUP)
         os.close(there)
+        # The first read has ended by then: a second writer who comes before would add to what it reads.
+        await one.event("listening")
         os.close(await piped(path, msgspec.json.encode(configuration([], listen, "127.0.0.1:2"))))
         assert (await one.event("reconfigured"))["bus"] == "127.0.0.1:2"
 
