--- /dev/null
+++ b/deploy/sites/variants.py
@@ -0,0 +1,128 @@
+"""Writes two variants of the operators' deployment beside this file, for the bench to play.
+
+    python deploy/sites/variants.py [FOLDER]
+
+FOLDER holds the site at hand with `real.json`, `wire.json` and `unlock.txt`; without it the one laid beside
+the project is taken. What is written here is the operators' own matter changed, so git ignores it. Exit code
+2, with one line, where there is no site to change.
+
+Nothing in the program knows a name or a figure from here: what a variant shows is that none is needed. The
+operators' form has no place for tenants, nor for limits of memory and descriptors; `lbreal` draws or is told
+those (`--memory-mb`, `--sockets`).
+"""
+
+from __future__ import annotations
+
+import json
+import shutil
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+HERE = Path(__file__).resolve().parent
+AT_HAND = HERE.parent.parent.parent / "given" / "kit" / "more" / "node" / "sites"
+SITE = "booking-line-bg.toml"
+BESIDE = ("real.json", "wire.json", "unlock.txt")
+
+
+def traffic(
+    name: str, share: list[float], aim: int, deadline: int, worth: float, late: float
+) -> dict[str, Any]:
+    asked = {"name": name, "share": share, "aim_ms": aim, "deadline_ms": deadline}
+    paid = {"worth": worth, "late_worth": late, "effect": "safe", "stream": True}
+    return asked | {"work_ms": 2, "dist": "fixed"} | paid
+
+
+def circuits(*lengths: float) -> list[dict[str, Any]]:
+    return [{"width": 1, "hold": length, "skilled": 1} for length in lengths]
+
+
+# Each key of a table is replaced, tables that are not named stay; a list of tables is replaced whole.
+VARIANTS: dict[str, dict[str, Any]] = {
+    # One class fewer, very uneven shares, short deadlines, many small places, steep prices for late answers.
+    "short-deadlines": {
+        "net": {"zones": ["quay", "mole"], "cross_ms": [5, 14]},
+        "clients": {"backoff_ms": [150, 500], "max_retry_after_ms": 700, "honour": [0.2, 0.5]},
+        "allow": {"max_attempts": 3},
+        "rules": {"drain_grace_ms": 400, "fall_multiple": 2.0},
+        "prices": {"waste": 0.08, "late_fail": 0.12},
+        "fam": {"release_ms": 150, "hold_s": [5, 7], "queue_ms": [900, 1600]},
+        "class": [
+            traffic("berth", [8.5, 11], 700, 3_000, 1, 0.1),
+            traffic("pilot-now", [0.3, 0.5], 400, 1_800, 5, 0.1),
+        ],
+        "fam.class": circuits(1, 0.5),
+    },
+    # Two classes more, long deadlines, other costs, more attempts, slower and colder starts.
+    "long-deadlines": {
+        "net": {"zones": ["hill", "dale", "ford", "weir", "moor"], "same_ms": [2, 5]},
+        "clients": {"retries": [1, 2.99], "max_retry_after_ms": 5_000, "marks_retry": False},
+        "allow": {"max_attempts": 8},
+        "rules": {"drain_grace_ms": 3_000, "fall_multiple": 3.0, "fall_ms": 1_500},
+        "prices": {"waste": 0.3, "late_fail": 0.02},
+        "fam": {"release_ms": 500, "hold_s": [9, 14], "queue_ms": [3_000, 5_000]},
+        "class": [
+            traffic("loan", [3, 4], 2_500, 15_000, 1, 0.5),
+            traffic("renewal", [2, 3], 3_000, 15_000, 0.5, 0.5),
+            traffic("reading-room", [1, 2], 2_000, 12_000, 2, 0.25),
+            traffic("transfer", [0.5, 1], 1_500, 12_000, 4, 0.25),
+            traffic("recall", [0.3, 0.5], 1_000, 9_000, 8, 0.1),
+        ],
+        "fam.class": circuits(1, 0.5, 1.5, 0.8, 0.6),
+        "tier.kind": [
+            {"name": "slow-start", "share": 1, "cores": 1, "cold_from": [0.2, 0.3], "cold_s": [14, 20],
+             "pause_every_s": 0, "error_rate": [0, 0.001]},
+        ],
+    },
+}  # fmt: skip
+
+
+def changed(site: dict[str, Any], name: str) -> dict[str, Any]:
+    """The site with a variant's changes."""
+    found: dict[str, Any] = json.loads(json.dumps(site)) | {"name": name}
+    for path, change in VARIANTS[name].items():
+        *way, last = path.split(".")
+        at = found
+        for step in way:
+            at = at[step][0] if isinstance(at[step], list) else at[step]
+        at[last] = at[last] | change if isinstance(change, dict) else change
+    return found
+
+
+def toml(table: dict[str, Any], path: str = "") -> str:
+    """TOML of what TOML gave: a table's own keys first, then its tables, then its lists of tables."""
+    plain = {key: value for key, value in table.items() if not _is_table(value)}
+    lines = [f"{key} = {json.dumps(value)}" for key, value in plain.items()]
+    for key, value in table.items():
+        name = f"{path}{key}"
+        if isinstance(value, dict):
+            lines += [f"\n[{name}]", toml(value, f"{name}.")]
+        elif _is_table(value):
+            for one in value:
+                lines += [f"\n[[{name}]]", toml(one, f"{name}.")]
+    return "\n".join(lines)
+
+
+def _is_table(value: Any) -> bool:
+    return isinstance(value, dict) or (isinstance(value, list) and bool(value) and isinstance(value[0], dict))
+
+
+def main(folder: Path, to: Path) -> int:
+    try:
+        site = tomllib.loads((folder / SITE).read_text("utf-8"))
+        to.mkdir(exist_ok=True)
+        for name in BESIDE:
+            # Their owner may have taken the right to write: a copy is written anew each time.
+            (to / name).unlink(missing_ok=True)
+            shutil.copyfile(folder / name, to / name)
+    except (OSError, ValueError) as error:
+        print(f"variants: no site to change in {folder}: {error}", file=sys.stderr)
+        return 2
+    for name in VARIANTS:
+        (to / f"{name}.toml").write_text(toml(changed(site, name)) + "\n", "utf-8")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(Path(sys.argv[1]) if len(sys.argv) > 1 else AT_HAND, HERE))
--- /dev/null
+++ b/tests/test_variants.py
@@ -0,0 +1,83 @@
+"""The script that writes variants of the operators' deployment, on a small site of our own."""
+
+from __future__ import annotations
+
+import importlib.util
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).parent.parent
+SCRIPT = ROOT / "deploy" / "sites" / "variants.py"
+SITE = """
+name = "site"
+[day]
+length_s = [42, 52]
+in_step = [false, true]
+[net]
+zones = ["a", "b"]
+same_ms = [3.5, 7.9]
+[clients]
+retries = [0, 2.99]
+[allow]
+max_attempts = 6
+[rules]
+fall_ms = 1000
+[prices]
+probe = 0.0
+[[tier]]
+name = "one"
+[tier.report]
+fields = ["x0", "queue"]
+[[tier.kind]]
+name = "kind"
+[[class]]
+name = "only"
+[fam]
+release_ms = 300
+[[fam.class]]
+width = 1
+[[trouble]]
+name = "burst"
+"""
+
+
+def test_variants_differ_from_the_site_where_they_say(tmp_path: Path) -> None:
+    found_at = importlib.util.spec_from_file_location("variants", SCRIPT)
+    assert found_at is not None and found_at.loader is not None
+    variants: Any = importlib.util.module_from_spec(found_at)
+    found_at.loader.exec_module(variants)
+    folder, to = tmp_path / "kit", tmp_path / "to"
+    folder.mkdir()
+    (folder / variants.SITE).write_text(SITE)
+    for name in variants.BESIDE:
+        (folder / name).write_text(name)
+        (folder / name).chmod(0o444)
+    assert variants.main(folder, to) == variants.main(folder, to) == 0
+    site = tomllib.loads(SITE)
+    for name, changes in variants.VARIANTS.items():
+        found = tomllib.loads((to / f"{name}.toml").read_text())
+        assert found == variants.changed(site, name) and found["name"] == name
+        kept = [key for key in site if key not in ("name", *(path.split(".")[0] for path in changes))]
+        assert {"day", "trouble"} <= set(kept) and all(found[key] == site[key] for key in kept)
+        names = [one["name"] for one in found["class"]]
+        assert "only" not in names and len(names) == len(found["fam"]["class"])
+        assert found["fam"]["release_ms"] != 300 and found["tier"][0]["report"] == site["tier"][0]["report"]
+        assert all((to / beside).read_text() == beside for beside in variants.BESIDE)
+
+
+def test_without_a_site_it_ends_with_one_line(tmp_path: Path) -> None:
+    ended = subprocess.run(
+        [sys.executable, SCRIPT, tmp_path], capture_output=True, text=True, timeout=60, check=False
+    )
+    assert ended.returncode == 2 and len(ended.stderr.splitlines()) == 1 and str(tmp_path) in ended.stderr
+
+
+def test_nothing_in_the_program_knows_a_variant_s_names() -> None:
+    text = SCRIPT.read_text()
+    names = [line.split('"')[1] for line in text.splitlines() if line.strip().startswith('traffic("')]
+    assert len(names) == 7
+    program = "\n".join(path.read_text("utf-8") for path in (ROOT / "valverouter").rglob("*.py"))
+    assert not [name for name in names if f'"{name}"' in program]
