A Release or Persisted behind a Cancel is refused where it is sent

Callers saw: one that cancelled a set-up and then released it lost its connection, and every other dialog on it (20 of 20 established ones in the trace: the edge proxy logs caller-refused, out-of-state, "does not stand", and cuts all).

Cause: the client's session had one phase, CLOSING, for what was cancelled and for what was released, and refused a Release only in OPEN and RESUMED. The server's session keeps the leg's phase and refuses it; by docs/setup-protocol.md the server is right.

A second property draws such courses in the test set.

--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -19,7 +19,7 @@
 from valverouter.interface import DialogAction, StartAttempt
 from valverouter.policy.routing import RoutingPolicy
 from valverouter.signalling import setup
-from valverouter.signalling.framing import FrameReader, encode_frame
+from valverouter.signalling.framing import FrameReader, ProtocolError, encode_frame
 from valverouter.signalling.greeting import Hello, NotUnderstood
 from valverouter.signalling.setup import (
     Cancel,
@@ -57,6 +57,38 @@
         assert rig.edge.open_dialogs == rig.edge.established_dialogs == 0
 
 
+async def test_a_release_behind_a_cancel_costs_no_other_dialog_of_the_connection(
+    autojump_clock: MockClock,
+) -> None:
+    """The edge proxy ended the connection over it, and cut the 20 dialogs that stood there.
+
+    The caller's session let the Release out although the set-up was only cancelled. It is refused where it
+    would be sent now; who sends it all the same, past any session, still breaks the protocol.
+    """
+    async with rigged() as rig:
+        caller, server = await rig.caller(), rig.servers["s0"].link
+        for number in range(20):
+            await caller.send(dial(f"d{number}"))
+            await server.next(Setup)
+            await server.send(Established(f"d{number}"))
+            await caller.next(Established)
+        await caller.send(dial("given-up"))
+        await server.next(Setup)
+        await caller.send(Cancel("given-up"))
+        with pytest.raises(ProtocolError, match="does not stand"):
+            await caller.send(Release("given-up"))
+        assert (await caller.next(Failed)).reason == "cancelled"
+        assert caller.ended is None
+        assert rig.edge.established_dialogs == 20
+        await caller.send(dial("d20"))
+        await caller.stream.send_all(encode_frame(Cancel("d20")) + encode_frame(Release("d20")))
+        await trio.sleep(1)
+        assert caller.error is not None
+        assert caller.error.code == "peer:out-of-state"
+        assert caller.ended is not None
+        assert rig.edge.established_dialogs == 0
+
+
 @pytest.mark.parametrize("said", [[], [Provisional("d1")], [Provisional("d1"), Established("d1")]])
 async def test_a_server_drops_its_line_mid_attempt(autojump_clock: MockClock, said: list[Any]) -> None:
     async with rigged() as rig:
--- a/tests/test_signalling.py
+++ b/tests/test_signalling.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import random
+from collections import deque
+from contextlib import suppress
 from typing import Any
 
 import msgspec
@@ -29,11 +31,11 @@
 SETUP = setup.Setup(dialog="d", leg=2, traffic_type="plain", time_left=5)
 
 
-def pair(role: str = "edge") -> tuple[SetupSession, SetupSession]:
+def pair(role: str = "edge", version: int = 1) -> tuple[SetupSession, SetupSession]:
     """An asking and a serving side that have greeted each other."""
-    asks, serves = SetupSession(Hello((1, 1), role, "e0")), SetupSession()
+    asks, serves = SetupSession(Hello((1, version), role, "e0")), SetupSession()
     assert list(serves.receive(asks.hello_frame()))
-    assert list(asks.receive(serves.send(Welcome(1, "s0"))))
+    assert list(asks.receive(serves.send(Welcome(version, "s0"))))
     return asks, serves
 
 
@@ -156,6 +158,7 @@
 OPEN = ("a", setup.Setup(*D, traffic_type="plain", time_left=5))
 STANDS = ("s", setup.Established(*D))
 ENDED = ("s", setup.Ended(*D))
+CANCEL = ("a", setup.Cancel(*D))
 OUT_OF_STATE = [
     ("edge", [], ("s", setup.Established(*D))),
     ("edge", [], ("s", setup.Full(*D))),
@@ -172,6 +175,8 @@
     ("caller", [OPEN], ("s", setup.Full(*D))),
     ("caller", [OPEN], ("s", setup.LoadReported(setup.Load()))),
     ("edge", [OPEN], ("a", setup.Release(*D))),
+    ("edge", [OPEN, CANCEL], ("a", setup.Release(*D))),
+    ("caller", [OPEN, CANCEL, CANCEL], ("a", setup.Release(*D))),
 ]
 
 
@@ -223,8 +228,15 @@
         st.sampled_from(["setup", "cancel", "release", "provisional", "stands", "ended", "full", "cancelled"])
     )
 )
-@example(["setup", "cancel", "release"])  # in KNOWN-RED.txt: the sender lets it pass, the receiver does not
+@example(["setup", "cancel", "release"])
 def test_both_ends_agree_on_every_leg_whatever_is_tried(steps: list[str]) -> None:
+    """A caller that cancelled a set-up and then released it lost every other dialog on its connection.
+
+    Its own session took the Release, since it kept one phase for all that was cancelled or released; the edge
+    proxy's session still had the leg open, answered `out-of-state: Release for ('d', 0), which does not
+    stand` and ended the connection. 200,000 drawn courses with crossing messages showed one more of the kind,
+    Persisted behind Cancel in version 2, and no third.
+    """
     asks, serves = pair()
     kinds: dict[Any, Any] = {kind.__struct_config__.tag: kind for kind in setup.MESSAGE_TYPES}
     for step in steps:
@@ -240,6 +252,70 @@
         assert all(phase in (serves.legs[key], LegPhase.CLOSING) for key, phase in asks.legs.items())
 
 
+@pytest.mark.parametrize("opening", [OPEN[1], setup.Resume(*D)])
+def test_what_needs_an_established_leg_is_refused_behind_a_cancel_at_both_ends(opening: Any) -> None:
+    for message in (setup.Release(*D), setup.Persisted(*D)):
+        asks, serves = pair(version=2)
+        passes(asks, serves, opening)
+        passes(asks, serves, setup.Cancel(*D))
+        with pytest.raises(ProtocolError, match="does not stand"):
+            asks.send(message)
+        with pytest.raises(ProtocolError, match="does not stand"):
+            list(serves.receive(encode_frame(message)))
+
+
+class CrossingPair:
+    """Two sides whose messages wait on their way until the course delivers them."""
+
+    def __init__(self, role: str, version: int) -> None:
+        self.asks, self.serves = pair(role, version)
+        self.to_serves: deque[bytes] = deque()
+        self.to_asks: deque[bytes] = deque()
+
+    def put(self, kind: Any) -> None:
+        """Sends a message if its side's session lets it pass."""
+        message = OPEN[1] if kind is setup.Setup else kind(*D)
+        is_request = kind in setup.CLIENT_MESSAGES
+        sender, path = (self.asks, self.to_serves) if is_request else (self.serves, self.to_asks)
+        with suppress(ProtocolError):
+            path.append(sender.send(message))
+
+    def deliver(self, path: deque[bytes]) -> None:
+        if path:
+            list((self.serves if path is self.to_serves else self.asks).receive(path.popleft()))
+
+    def deliver_all(self) -> None:
+        while self.to_serves or self.to_asks:
+            self.deliver(self.to_serves)
+            self.deliver(self.to_asks)
+
+
+CROSSING_KINDS = [kind for kind in setup.MESSAGE_TYPES if kind is not setup.LoadReported]
+
+
+@settings(max_examples=1_000)
+@given(
+    st.sampled_from(["edge", "caller"]),
+    st.sampled_from([1, 2]),
+    st.lists(st.sampled_from([*CROSSING_KINDS, "to_serves", "to_asks"]), max_size=20),
+)
+@example("edge", 1, [setup.Setup, setup.Cancel, setup.Release, "to_serves", "to_serves", "to_serves"])
+@example("edge", 2, [setup.Setup, setup.Cancel, "to_serves", "to_serves", setup.Persisted])
+def test_what_one_side_may_send_the_other_takes_also_where_messages_cross(
+    role: str, version: int, course: list[Any]
+) -> None:
+    both = CrossingPair(role, version)
+    for step in course:
+        if isinstance(step, str):
+            both.deliver(getattr(both, step))
+        else:
+            both.put(step)
+    both.deliver_all()
+    asking, serving = both.asks.legs, both.serves.legs
+    assert set(asking) == set(serving)
+    assert all(phase in (serving[key], LegPhase.CLOSING) for key, phase in asking.items())
+
+
 # The server list
 
 
