Failing test: a stopping platform edge proxy beside callers that go on asking

Callers see: set-ups that come after 0.7 s of a stop, on connections that stay open, have no answer when SIGKILL comes.

Streams in memory can now be asked whether bytes lie unread, and closed at once, as sockets can.

--- /dev/null
+++ b/tests/test_relayedge_end.py
@@ -0,0 +1,91 @@
+"""The end of the platform's edge proxy, beside callers that go on asking until their connection ends."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import trio
+from trio.testing import MockClock
+
+from tests.relayrig import Client, Rig, relayed, set_up
+from valverouter.days.memory_network import MemoryRuntime
+from valverouter.terms import platform
+
+CALLERS = 8
+ASK_INTERVAL_S = 0.03
+# What a turn of the event loop takes on a host that gives this process a quarter of a core.
+TURN_S = 0.06
+# From the platform's page: a set-up that crosses the end of its connection is sent again.
+CROSSING_S = 0.05
+# The longest no-answer time of SETTINGS is over 3 s, and counts as 3 s.
+KILL_AFTER_S = (platform.MAX_KILL_BASE + platform.KILL_DELAY) / 1e9
+
+
+@dataclass
+class Asked:
+    """The set-ups of all callers by id, with the moment and the connection of each."""
+
+    count: int = 0
+    sent: dict[str, tuple[float, Client]] = field(default_factory=dict)
+
+    def lost_after(self, since: float, until: float) -> list[str]:
+        """Those sent since then that had neither an answer nor, while they crossed it, their connection's end."""
+        lost = []
+        for id_, (at, client) in self.sent.items():
+            answered = any(message.id == id_ for _, message in client.heard)
+            ended = until if client.ended is None else client.ended
+            if at > since and not answered and ended - at > CROSSING_S:
+                lost.append(id_)
+        return lost
+
+
+async def go_on_asking(asked: Asked, client: Client) -> None:
+    while True:
+        await trio.sleep(ASK_INTERVAL_S)
+        asked.count += 1
+        id_ = f"{asked.count:016x}"
+        try:
+            await client.stream.send_all(set_up(id_))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        asked.sent[id_] = trio.current_time(), client
+
+
+def slow_down(rig: Rig) -> None:
+    """Each turn waits for the processor first, as beside many busy processes."""
+    assert isinstance(rig.place, MemoryRuntime)
+    checkpoint = rig.place.checkpoint
+
+    async def slow_checkpoint() -> None:
+        await trio.sleep(TURN_S)
+        await checkpoint()
+
+    rig.place.checkpoint = slow_checkpoint  # type: ignore[method-assign]
+
+
+async def test_callers_that_go_on_asking_lose_nothing_at_the_end_on_a_busy_host(
+    autojump_clock: MockClock,
+) -> None:
+    """Beside 24 busy processes SIGKILL found the process still there, and set-ups in it without an answer.
+
+    Callers that went on asking over their open connections kept it from ever being quiet, so it stayed to
+    `stop_within` and FINAL_READ_LIMIT behind it, 50 ms before SIGKILL, where a turn alone takes longer.
+    """
+    async with relayed("s0") as rig:
+        clients = [await rig.client() for _ in range(CALLERS)]
+        for number, client in enumerate(clients):
+            await client.ask(f"{number + 1:x}" * 16)
+        await rig.until(lambda: all(client.heard for client in clients))
+        asked = Asked()
+        slow_down(rig)
+        signalled = trio.current_time()
+        for client in clients:
+            rig.nursery.start_soon(go_on_asking, asked, client)
+        await trio.sleep(platform.ACCEPT_PERIOD / 1e9)
+        rig.edge.stop()
+        killed = signalled + KILL_AFTER_S
+        with trio.move_on_at(killed):
+            await rig.edge.ended.wait()
+        ended = trio.current_time()
+        assert asked.lost_after(signalled + platform.KILL_DELAY / 1e9, ended) == []
+        assert killed - ended >= platform.EXIT_MARGIN / 1e9 / 2
--- a/valverouter/days/memory_network.py
+++ b/valverouter/days/memory_network.py
@@ -87,13 +87,22 @@
                 return b""
             await self._in.changed.wait()
 
-    async def aclose(self) -> None:
-        """Closes this end."""
+    @property
+    def has_unread_data(self) -> bool:
+        """Whether bytes have arrived that nobody has read."""
+        return bool(self._in.buffer)
+
+    def close_now(self) -> None:
+        """Closes this end without a wait."""
         self._closed = True
         self._out.ended = True
         self._in.broken = True
         self._out.notify()
         self._in.notify()
+
+    async def aclose(self) -> None:
+        """Closes this end."""
+        self.close_now()
         await trio.lowlevel.checkpoint()
 
 
