A stopping platform edge proxy closes idle callers' connections before its last moment

Callers saw: set-ups that came later than 0.7 s after SIGTERM, on connections that stay open, had no answer when SIGKILL came.

Cause: a standing call keeps the process to stop_within, callers that go on asking then keep it from ever being quiet for FINAL_READ_LIMIT more, and the interpreter's own end comes behind: all three in the 100 ms of EXIT_MARGIN, however early the last open dialog ended.

Mend: from 500 ms before the last dialogs are answered each turn closes the connections that have had all they are owed and on which nothing lies unread (the page allows it; a set-up that crosses within 50 ms is sent again), and the process ends once no dialog is open. The last dialogs are answered 250 ms before SIGKILL. It holds because what callers can send after the close is no longer taken, so nothing has to be quiet by itself.

The test's first form asked every 30 ms and so filled a turn's 16 events exactly: it judged an overloaded loop. It asks every 80 ms now, has a case with a dialog open to the last, and fails on the former program in both.

--- a/tests/test_relayedge_end.py
+++ b/tests/test_relayedge_end.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+import pytest
 import trio
 from trio.testing import MockClock
 
@@ -12,7 +13,7 @@
 from valverouter.terms import platform
 
 CALLERS = 8
-ASK_INTERVAL_S = 0.03
+ASK_INTERVAL_S = 0.08
 # What a turn of the event loop takes on a host that gives this process a quarter of a core.
 TURN_S = 0.06
 # From the platform's page: a set-up that crosses the end of its connection is sent again.
@@ -29,7 +30,7 @@
     sent: dict[str, tuple[float, Client]] = field(default_factory=dict)
 
     def lost_after(self, since: float, until: float) -> list[str]:
-        """Those sent since then that had neither an answer nor, while they crossed it, their connection's end."""
+        """Those sent since then with neither an answer nor, while they crossed it, their connection's end."""
         lost = []
         for id_, (at, client) in self.sent.items():
             answered = any(message.id == id_ for _, message in client.heard)
@@ -63,8 +64,9 @@
     rig.place.checkpoint = slow_checkpoint  # type: ignore[method-assign]
 
 
+@pytest.mark.parametrize("open_to_the_last", [False, True])
 async def test_callers_that_go_on_asking_lose_nothing_at_the_end_on_a_busy_host(
-    autojump_clock: MockClock,
+    autojump_clock: MockClock, open_to_the_last: bool
 ) -> None:
     """Beside 24 busy processes SIGKILL found the process still there, and set-ups in it without an answer.
 
@@ -77,6 +79,9 @@
             await client.ask(f"{number + 1:x}" * 16)
         await rig.until(lambda: all(client.heard for client in clients))
         asked = Asked()
+        if open_to_the_last:
+            rig.servers["s0"].answers = False
+            await clients[0].ask("f" * 16, left=9_000)
         slow_down(rig)
         signalled = trio.current_time()
         for client in clients:
--- a/valverouter/edge/lifecycle.py
+++ b/valverouter/edge/lifecycle.py
@@ -15,14 +15,22 @@
     def __init__(self) -> None:
         """Starts with a proxy that serves."""
         self.is_draining = False
-        self._deadline = 0
+        self._closing_at = self._deadline = 0
         self._quiet_turns = 0
 
-    def begin(self, now: int, limit: int) -> int:
-        """Starts draining for at most `limit` nanoseconds; returns the deadline."""
+    def begin(self, now: int, limit: int, closing_period: int = 0) -> tuple[int, int]:
+        """Starts draining for at most `limit` nanoseconds; returns when closing starts, and the deadline.
+
+        Closing starts `closing_period` nanoseconds before the deadline.
+        """
         self.is_draining = True
         self._deadline = now + limit
-        return self._deadline
+        self._closing_at = max(now, self._deadline - closing_period)
+        return self._closing_at, self._deadline
+
+    def is_closing(self, now: int) -> bool:
+        """Whether it is time to close the connections on which nothing is open."""
+        return self.is_draining and self._closing_at <= now
 
     def has_expired(self, now: int) -> bool:
         """Whether the deadline has passed."""
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -69,6 +69,9 @@
 class EdgeProxy:
     """An instance. What is open is in `dialogs` and `links`; each part is a class of its own module."""
 
+    # So long before the end of a graceful shutdown idle callers' connections are closed, nanoseconds.
+    closing_period = 0
+
     def __init__(self, config: EdgeConfig, runtime: Runtime, epoch: int = 0) -> None:
         """`epoch`, over 0 where accepted dialogs outlive a restart, is part of our welcome to peers."""
         self.address = ""
@@ -228,6 +231,9 @@
         """Whether nothing waits here to be handled, read or written."""
         return not len(self.context.events)
 
+    def _close_idle_callers(self) -> None:
+        """The end is near, or nothing is open any more: callers are to ask elsewhere."""
+
     # The event loop
 
     async def _run_turns(self) -> None:
@@ -303,12 +309,15 @@
         """Whether a draining proxy has answered, sent and read everything, or its time is up."""
         context = self.context
         if not (self._is_done or context.shutdown.has_expired(now)):
+            if context.shutdown.is_closing(now):
+                self._close_idle_callers()
             return False
         context.send_batch.begin()
         for dialog_id in list(self.dialogs.entries):
             self.attempts.abort_dialog(dialog_id, "stopping")
         self._before_send(now)
         context.send_batch.end()
+        self._close_idle_callers()
         if context.shutdown.may_end(now, self._is_quiet):
             return True
         context.timers.schedule(now + SETTLE, StopRequested())
@@ -333,8 +342,11 @@
         """The first begins to drain; the next change nothing, they only wake the loop."""
         context = self.context
         if not context.shutdown.is_draining:
-            deadline = context.shutdown.begin(context.now, context.config.links.stop_within)
-            context.timers.schedule(deadline, event)
+            moments = context.shutdown.begin(
+                context.now, context.config.links.stop_within, self.closing_period
+            )
+            for moment in moments:
+                context.timers.schedule(moment, event)
             self._log.info("edge-draining", open=self.open_dialogs)
 
     def _on_decision_failed(self, dialog_id: str) -> None:
--- a/valverouter/relayedge/callers.py
+++ b/valverouter/relayedge/callers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Set
 from dataclasses import dataclass
 from itertools import chain
 from typing import Any
@@ -105,6 +105,12 @@
         """Whether each has had what it is owed, and nothing of any lies unread."""
         return all(caller.is_quiet for caller in self._in_order())
 
+    def close_quiet(self, owed: Set[CallerConnection]) -> None:
+        """Closes those that have had what they are owed, and on which nothing lies unread, except `owed`."""
+        for caller in list(self._in_order()):
+            if caller not in owed and not caller.is_closed and caller.is_quiet:
+                caller.close()
+
     def most_recent(self) -> RelayCaller | None:
         """The one with the latest message, of those that are not closed."""
         latest_first = chain(reversed(self._useful), reversed(self._unproven))
--- a/valverouter/relayedge/proxy.py
+++ b/valverouter/relayedge/proxy.py
@@ -20,12 +20,13 @@
 from valverouter.relayedge.server_links import RelayLinks
 from valverouter.relayedge.unknown_ends import UnknownEnds
 from valverouter.terms.options import MalformedInputError
-from valverouter.terms.platform import PlatformConfig
+from valverouter.terms.platform import CLOSING_PERIOD, PlatformConfig
 
 
 class RelayProxy(EdgeProxy):
     """An instance on the platform."""
 
+    closing_period = CLOSING_PERIOD
     source: BusClient
     requests: RelayRequests
     listener: RelayListener
@@ -86,7 +87,9 @@
 
     @property
     def _is_done(self) -> bool:
-        # Ends are passed on as long as that is possible.
+        # Ends are passed on as long as there is a connection for them.
+        if self.context.shutdown.is_closing(self.context.now):
+            return not self.dialogs.open_count
         return not self.dialogs.entries
 
     @property
@@ -94,6 +97,12 @@
         # A request that the kernel has accepted for us is accepted: ended with it unread, it would be lost.
         return super()._is_quiet and self.connected.all_quiet()
 
+    def _close_idle_callers(self) -> None:
+        # Callers that go on asking would keep the process from being quiet up to the last moment before
+        # SIGKILL, where a busy host may give it no turn any more. What crosses the close is sent again.
+        owed = {entry.caller for entry in self.dialogs.entries.values() if not entry.is_established}
+        self.connected.close_quiet(owed)
+
     def _on_endpoint_update(self, update: EndpointUpdate) -> None:
         super()._on_endpoint_update(update)
         # While the list was away callers may have taken the descriptors that its servers need now.
--- a/valverouter/terms/platform.py
+++ b/valverouter/terms/platform.py
@@ -33,7 +33,10 @@
 ACCEPT_PERIOD = 650 * MS
 KILL_DELAY, MAX_KILL_BASE = 700 * MS, 3 * SECOND
 # The last dialogs are answered, and the process exits, so long before SIGKILL.
-EXIT_MARGIN = 100 * MS
+EXIT_MARGIN = 250 * MS
+# So long before that, callers' connections without an open dialog are closed, and the process exits once no
+# dialog is open: the callers' next set-ups go to other edge proxies.
+CLOSING_PERIOD = 500 * MS
 
 
 class ResourceLimits(Struct):
