--- a/tests/test_disruption_permits.py
+++ b/tests/test_disruption_permits.py
@@ -130,6 +130,18 @@
         assert simulation.group.problem == "", f"seed {seed}"
 
 
+@pytest.mark.parametrize("compaction_threshold", [8, 64])
+def test_a_member_that_lost_its_disk_catches_up_with_a_compacted_log(compaction_threshold: int) -> None:
+    """With the processes' threshold a run ends before its log is compacted, so none ever came to it."""
+    disks_lost = 0
+    for seed in range(12):
+        simulation = PermitSimulation(seed, compaction_threshold=compaction_threshold)
+        simulation.run(60)
+        assert simulation.group.problem == "", f"seed {seed}"
+        disks_lost += simulation.counts["disk lost"]
+    assert disks_lost > 3
+
+
 @pytest.mark.parametrize("planted_fault", ["disk", "fence"])
 def test_the_simulation_finds_a_planted_fault(planted_fault: str) -> None:
     """A member that votes on without its disk; a permit that is used again after its end."""
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from typing import Any
 
 from valverouter.rollout.raft import COMPACTION_THRESHOLD, ELECTION_TIMEOUT, RaftNode, Role
 from valverouter.rollout.raft_log import Configuration, LogEntry, PersistentState, SaveEntries
@@ -240,7 +241,13 @@
 
 
 def test_a_member_with_an_empty_disk_gets_the_snapshot_once_it_is_admitted() -> None:
-    """Its log is empty, and the leader has compacted the first entries away."""
+    """Its log is empty, and the leader has compacted the first entries away.
+
+    The leader sent the entries from 1 on, of which it had none, and never the snapshot, since the term at
+    index 0 was 0 to it although the log began later. The member refused them, the leader sent the same again
+    at once. Three `fleet raft-server` processes, a store emptied after 320 entries: 35,015 datagrams a second
+    and 0.99 of a core at the leader and at the member, for good; 22 and 0.015 since.
+    """
     cluster = Cluster()
     cluster.run(5)
     leader = cluster.leader
@@ -260,3 +267,82 @@
         cluster.step()
     assert cluster.nodes[lost].is_member
     assert cluster.nodes[lost].commit_index == leader.commit_index
+
+
+class CommittedEntries(list[tuple[int, Any]]):
+    """What a node commits; `all` keeps also what a snapshot then replaces."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.all: list[tuple[int, Any]] = []
+
+    def append(self, entry: tuple[int, Any]) -> None:
+        self.all.append(entry)
+        super().append(entry)
+
+
+def compacted_cluster(entries_behind_snapshot: int) -> Cluster:
+    """A group whose members have compacted their log once, and have so many entries behind the snapshot."""
+    cluster = Cluster()
+    cluster.run(5)
+    propose(cluster, COMPACTION_THRESHOLD)
+    for node in cluster.nodes.values():
+        node.committed.clear()
+        node.compact_log()
+    propose(cluster, entries_behind_snapshot)
+    cluster.run(1)
+    return cluster
+
+
+def propose(cluster: Cluster, count: int) -> None:
+    for number in range(count):
+        cluster.leader.propose(cluster.now, number)
+        cluster.deliver()
+
+
+def readmit_with_empty_disk(cluster: Cluster, name: str) -> RaftNode:
+    """The member's disk is lost; the group removes the member and admits it again with another disk."""
+    leader = cluster.leader
+    node = cluster.nodes[name] = RaftNode(name, PersistentState(77), random.random, cluster.now)
+    assert rejection(leader, cluster.now, name, None) == ""
+    cluster.run(2)
+    assert rejection(leader, cluster.now, "", (name, 77)) == ""
+    return node
+
+
+def test_an_empty_member_is_sent_no_entry_under_another_index() -> None:
+    """It committed entry 259 as its first: permits that the group never gave, at a member that may lead.
+
+    `entries_from(1)` of a log that begins at 258 counted from its end. With few entries behind the snapshot
+    that gave none, and the exchange without end; with more than 240 it gave the wrong ones.
+    """
+    cluster = compacted_cluster(COMPACTION_THRESHOLD - 8)
+    leader = cluster.leader
+    name = next(name for name in cluster.nodes if name != leader.name)
+    node = readmit_with_empty_disk(cluster, name)
+    node.committed = committed = CommittedEntries()
+    cluster.run(2)
+    assert node.commit_index == leader.commit_index
+    snapshot = leader.persistent.snapshot
+    assert snapshot is not None
+    assert min(index for index, _ in committed.all) == snapshot.last_included_index + 1
+    for index, command in committed.all:
+        assert leader.persistent.entry_at(index).command == command
+
+
+def test_an_old_request_from_before_the_snapshot_takes_no_entry_away() -> None:
+    """A datagram that came late or twice, with the group's first entries: the log behind the snapshot went.
+
+    Term 0 at index 0 made it fit, and its entries replaced what came after the snapshot, committed or not.
+    """
+    cluster = compacted_cluster(10)
+    node = next(node for node in cluster.nodes.values() if node.role is not Role.LEADER)
+    leader, term = cluster.leader.name, node.persistent.current_term
+    before = list(node.persistent.entries)
+    late = AppendEntries(term, leader, 0, 0, (LogEntry(1, "first"), LogEntry(term, "second")), 2)
+    node.outgoing.clear()
+    node.receive(cluster.now, late)
+    assert node.persistent.entries == before
+    assert node.outgoing == [
+        (leader, AppendEntriesResponse(term, node.name, node.persistent.disk_id, True, node.commit_index))
+    ]
--- a/valverouter/emulator/permit_simulation.py
+++ b/valverouter/emulator/permit_simulation.py
@@ -23,7 +23,7 @@
     PermitDecision,
     RequestPermit,
 )
-from valverouter.rollout.raft import SECOND
+from valverouter.rollout.raft import COMPACTION_THRESHOLD, SECOND
 
 REGIONS = ("north", "south", "west")
 # This part of the decisions comes a second time, so much later.
@@ -68,13 +68,16 @@
         limits: DisruptionLimits | None = None,
         loss: float = 0.02,
         planted_fault: str = "",
+        compaction_threshold: int = COMPACTION_THRESHOLD,
     ) -> None:
         """Founds the group and lets every holder begin at a drawn moment."""
         self.events = EventQueue()
         self.draws = random.Random(f"council/{seed}")
         self.planted_fault = planted_fault
         self.limits = limits or DisruptionLimits(max_unavailable=3, max_unavailable_per_region=2)
-        self.group = RaftGroup(self.events, self.draws, group_size, loss, self._on_applied, planted_fault)
+        self.group = RaftGroup(
+            self.events, self.draws, group_size, loss, self._on_applied, planted_fault, compaction_threshold
+        )
         instances = [
             Instance(f"e{index}", InstanceKind.EDGE, REGIONS[index % len(REGIONS)], 100)
             for index in range(holder_count)
--- a/valverouter/emulator/raft_group.py
+++ b/valverouter/emulator/raft_group.py
@@ -17,7 +17,7 @@
 from valverouter.emulator.event_queue import EventQueue
 from valverouter.emulator.lossy_network import LossyNetwork, NetworkProfile
 from valverouter.rollout.disruption_permits import PermitCommand, PermitDecision, PermitRegister
-from valverouter.rollout.raft import ELECTION_TIMEOUT, SECOND, RaftNode, Role
+from valverouter.rollout.raft import COMPACTION_THRESHOLD, ELECTION_TIMEOUT, SECOND, RaftNode, Role
 from valverouter.rollout.raft_log import Configuration, LogEntry, PersistentState, SaveEntries
 from valverouter.rollout.raft_membership import MembershipChangeError
 from valverouter.rollout.raft_messages import RaftMessage
@@ -62,11 +62,13 @@
         loss: float,
         on_applied: Callable[[SimulatedMember, PermitCommand, PermitDecision | None], None],
         planted_fault: str = "",
+        compaction_threshold: int = COMPACTION_THRESHOLD,
     ) -> None:
         """Founds the group: all members have the same first entry."""
         self.events = events
         self.planted_fault = planted_fault
         self.counts: Counter[str] = Counter()
+        self._compaction_threshold = compaction_threshold
         self._draws = draws
         self._on_applied = on_applied
         self._committed: dict[int, Any] = {}
@@ -103,6 +105,7 @@
             self.events.now,
             lambda: member.register.copy(),
             restore_state,
+            self._compaction_threshold,
         )
         self.events.after(TICK_INTERVAL, self._tick, member, member.incarnation)
 
--- a/valverouter/rollout/raft.py
+++ b/valverouter/rollout/raft.py
@@ -74,6 +74,7 @@
         now: int,
         capture_state: Callable[[], Any] = lambda: None,
         restore_state: Callable[[Any], None] = lambda state: None,
+        compaction_threshold: int = COMPACTION_THRESHOLD,
     ) -> None:
         """Begins as a follower; a snapshot in `persistent` is restored."""
         self.name = name
@@ -88,6 +89,7 @@
         self._draw = draw
         self._capture_state = capture_state
         self._restore_state = restore_state
+        self._compaction_threshold = compaction_threshold
         self._now = now
         self._votes: set[str] = set()
         self._progress = LeaderState(name)
@@ -193,7 +195,7 @@
 
     def compact_log(self) -> None:
         """Replaces committed entries by a snapshot if they are many; `committed` must have been applied."""
-        if self.commit_index - self.persistent.first_index + 1 >= COMPACTION_THRESHOLD:
+        if self.commit_index - self.persistent.first_index + 1 >= self._compaction_threshold:
             snapshot = self.persistent.compacted(self.commit_index, self._capture_state())
             self._save(SaveSnapshot(snapshot))
 
--- a/valverouter/rollout/raft_log.py
+++ b/valverouter/rollout/raft_log.py
@@ -82,6 +82,10 @@
 Save = SaveTerm | SaveEntries | SaveSnapshot
 
 
+class CompactedError(IndexError):
+    """An entry was asked for that a snapshot has replaced."""
+
+
 @dataclass(slots=True)
 class PersistentState:
     """What a member's disk holds. A store reads its saves back through `apply` as well."""
@@ -110,8 +114,12 @@
         return self.term_at(self.last_index) or 0
 
     def term_at(self, index: int) -> int | None:
-        """The term of the entry at `index`; None: it was compacted away, or is not in the log yet."""
-        if index == 0:
+        """The term of the entry at `index`; None: it was compacted away, or is not in the log yet.
+
+        Index 0, the empty log, is compacted away like any other: nothing can be appended to it any more, and
+        a member with an empty log needs the snapshot.
+        """
+        if index == 0 and self.snapshot is None:
             return 0
         if self.snapshot is not None and index == self.snapshot.last_included_index:
             return self.snapshot.last_included_term
@@ -120,14 +128,23 @@
         return None
 
     def entry_at(self, index: int) -> LogEntry:
-        """The entry at `index`, which must not have been compacted away."""
-        return self.entries[index - self.first_index]
+        """The entry at `index`; CompactedError if it was compacted away."""
+        return self.entries[self._position(index)]
 
     def entries_from(self, index: int, limit: int | None = None) -> Sequence[LogEntry]:
-        """Entries from `index` on, at most `limit` of them."""
-        start = index - self.first_index
+        """Entries from `index` on, at most `limit` of them; CompactedError if `index` was compacted away."""
+        start = self._position(index)
         return self.entries[start : None if limit is None else start + limit]
 
+    def _position(self, index: int) -> int:
+        """Where the entry at `index` is in `entries`.
+
+        A position before the first would count from the end: a member was sent entries under other indexes.
+        """
+        if index < self.first_index:
+            raise CompactedError(f"entry {index} was compacted away, {self.first_index} is the first")
+        return index - self.first_index
+
     @property
     def configuration(self) -> Configuration:
         """The newest membership in the log, committed or not.
@@ -170,7 +187,7 @@
             case SaveTerm(term, voted_for):
                 self.current_term, self.voted_for = term, voted_for
             case SaveEntries(first_index, entries):
-                del self.entries[first_index - self.first_index :]
+                del self.entries[self._position(first_index) :]
                 self.entries += entries
                 self._configuration = None
             case SaveSnapshot(snapshot):
