A raft leader does not answer a rejection that moves nothing at once

Cause: every rejection was answered by the next request at once, also with no earlier index left to go back to, so any member that rejects the first request keeps both busy for good.

Mend: FollowerProgress.rewind says whether next_index moved; if not, the next heartbeat asks again. It holds whatever the cause of the rejection, since each answer now needs an index to go back to, and those are finite.

--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -346,3 +346,19 @@
     assert node.outgoing == [
         (leader, AppendEntriesResponse(term, node.name, node.persistent.disk_id, True, node.commit_index))
     ]
+
+
+def test_a_response_that_moves_nothing_is_not_answered_at_once() -> None:
+    """The same request at once brings the same response: two members kept each other and the path busy."""
+    cluster = Cluster()
+    cluster.run(5)
+    leader = cluster.leader
+    name, disk_id = next(member for member in leader.configuration.members if member[0] != leader.name)
+    term = leader.persistent.current_term
+    for _ in range(10):
+        leader.receive(cluster.now, AppendEntriesResponse(term, name, disk_id, False, 0))
+    leader.outgoing.clear()
+    leader.receive(cluster.now, AppendEntriesResponse(term, name, disk_id, False, 0))
+    assert leader.outgoing == []
+    leader.tick(leader.next_deadline)
+    assert name in [receiver for receiver, _ in leader.outgoing], "with the next heartbeat"
--- a/valverouter/rollout/raft.py
+++ b/valverouter/rollout/raft.py
@@ -359,9 +359,9 @@
             is_behind = follower.next_index <= self.last_log_index
             if self.role is Role.LEADER and is_behind:
                 self._replicate_to(response.follower_id)
-        else:
-            follower.next_index = max(1, min(follower.next_index - 1, response.match_index + 1))
+        elif follower.rewind(response.match_index):
             self._replicate_to(response.follower_id)
+        # Else the same request would bring the same response, over and over: the next heartbeat asks again.
 
     def _advance_commit_index(self) -> None:
         """Commits the last entry of its own term that a majority has on disk, and all before it.
--- a/valverouter/rollout/raft_progress.py
+++ b/valverouter/rollout/raft_progress.py
@@ -19,6 +19,13 @@
     match_index: int = 0
     acknowledged_round: int = 0
 
+    def rewind(self, match_index: int) -> bool:
+        """Goes back to what follows `match_index`, by one at least; whether there was a way back to go."""
+        next_index = max(1, min(self.next_index - 1, match_index + 1))
+        has_moved = next_index < self.next_index
+        self.next_index = next_index
+        return has_moved
+
 
 @dataclass(slots=True)
 class LeaderState:
