--- a/tests/test_fleet_transport.py
+++ b/tests/test_fleet_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 from typing import Any
 
 import msgspec
@@ -27,9 +28,25 @@
     Reassembler,
     TooManyFragmentsError,
 )
-from valverouter.fleet.messages import ClientRequest, ControlMessage, NodeAnnouncement, RequestKind
+from valverouter.fleet.messages import (
+    ClientRequest,
+    ControlMessage,
+    NodeAnnouncement,
+    RaftEnvelope,
+    RequestKind,
+    decoder,
+    encoder,
+)
 from valverouter.fleet.queries import CountersQuery
 from valverouter.fleet.transport import Transport
+from valverouter.rollout import operation_transitions
+from valverouter.rollout.disruption_limits import DisruptionLimits, Instance, InstanceKind
+from valverouter.rollout.disruption_permits import EnrollInstances
+from valverouter.rollout.operation_log import OperationLog
+from valverouter.rollout.operations import Cancel, Command, InstanceReported, OperationKind, Submit
+from valverouter.rollout.raft_log import Configuration, Snapshot
+from valverouter.rollout.raft_messages import InstallSnapshot
+from valverouter.rollout.serialization import from_wire, to_wire
 
 KEY = (b"k" * 32,)
 
@@ -59,6 +76,57 @@
     assert transmissions <= 9
 
 
+def operation_log(instances: int, operations: int) -> OperationLog:
+    """The state of a control plane: so many instances, and ended operations that named all of them."""
+    log = OperationLog()
+    names = tuple(f"edge-{number}" for number in range(instances))
+    enrolled = tuple(Instance(name, InstanceKind.EDGE, "north", 100) for name in names)
+    commands: list[Command] = [
+        EnrollInstances(enrolled, ((InstanceKind.EDGE, DisruptionLimits(4, 2)),)),
+        *(InstanceReported(name, "v1", ("v1", "v2")) for name in names),
+        Submit("op-0", OperationKind.RESTART, names),
+        Cancel("op-0", "enough"),
+    ]
+    for index, command in enumerate(commands, 1):
+        operation_transitions.apply(log, index, command)
+    # Planned once: each plan of 900 instances takes a quarter of a second.
+    ended = log.operations["op-0"]
+    log.operations = {f"op-{number}": ended.copy() for number in range(operations)}
+    return log
+
+
+@pytest.mark.parametrize(("instances", "operations"), [(220, 0), (220, 64), (900, 64)])
+def test_a_raft_snapshot_of_the_largest_fleet_comes_over_a_path_that_loses(
+    instances: int, operations: int
+) -> None:
+    """At 900 instances and the 64 ended operations that are kept, a snapshot is 3.5 MB, 2,959 fragments.
+
+    That was over the limit of a message: an empty member never got it, and the leader logged
+    `message-too-long` at each heartbeat. Sent again, as a heartbeat does, it fills the gaps; another leader's
+    that comes between is a message of its own.
+    """
+    configuration = Configuration((("c0", 1), ("c1", 2)))
+    snapshot = Snapshot(5_000, 3, configuration, operation_log(instances, operations))
+    sent, late = (
+        encoder.encode(RaftEnvelope("c1", to_wire(InstallSnapshot(term, leader, snapshot, 7))))
+        for term, leader in ((4, "c0"), (3, "c2"))
+    )
+    fragmenter, other, reassembler = Fragmenter("c0", 1), Fragmenter("c2", 2), Reassembler()
+    chance = random.Random(1)
+    for _ in range(1_000):
+        fragments = [*other.split("x:1", late)[:2], *fragmenter.split("x:1", sent)]
+        received = [reassembler.add(fragment) for fragment in fragments if chance.random() < 0.8]
+        if sent in received:
+            break
+    else:
+        raise AssertionError("the snapshot never came")
+    message = decoder.decode(sent)
+    assert isinstance(message, RaftEnvelope)
+    installed = from_wire(message.message)
+    assert isinstance(installed, InstallSnapshot)
+    assert installed.snapshot == snapshot
+
+
 def test_partial_messages_are_bounded_and_invalid_fragments_are_ignored() -> None:
     reassembler = Reassembler()
     for message_id in range(10 * MAX_PARTIAL_MESSAGES):
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -6,11 +6,12 @@
 from typing import Any
 
 from valverouter.rollout.raft import COMPACTION_THRESHOLD, ELECTION_TIMEOUT, RaftNode, Role
-from valverouter.rollout.raft_log import Configuration, LogEntry, PersistentState, SaveEntries
+from valverouter.rollout.raft_log import Configuration, LogEntry, PersistentState, SaveEntries, Snapshot
 from valverouter.rollout.raft_membership import MembershipChangeError
 from valverouter.rollout.raft_messages import (
     AppendEntries,
     AppendEntriesResponse,
+    InstallSnapshot,
     RequestVote,
     RequestVoteResponse,
 )
@@ -362,3 +363,29 @@
     assert leader.outgoing == []
     leader.tick(leader.next_deadline)
     assert name in [receiver for receiver, _ in leader.outgoing], "with the next heartbeat"
+
+
+def test_a_snapshot_that_comes_again_or_late_replaces_nothing() -> None:
+    """As over datagrams: repeated at each heartbeat, an older one behind a newer, one of a former leader."""
+    node = Cluster().nodes["c1"]
+    restored: list[str] = []
+    node._restore_state = restored.append
+
+    def install(term: int, leader: str, index: int) -> AppendEntriesResponse:
+        snapshot = Snapshot(index, 1, node.configuration, f"state at {index}")
+        node.outgoing.clear()
+        node.receive(SECOND, InstallSnapshot(term, leader, snapshot))
+        (response,) = [message for _, message in node.outgoing if isinstance(message, AppendEntriesResponse)]
+        return response
+
+    assert install(2, "c0", 20) == AppendEntriesResponse(2, "c1", 2, True, 20)
+    node.receive(SECOND, AppendEntries(2, "c0", 20, 1, (LogEntry(2, "a"),), 21))
+    for index in (20, 10):
+        assert install(2, "c0", index) == AppendEntriesResponse(2, "c1", 2, True, index)
+    assert install(1, "c2", 30) == AppendEntriesResponse(2, "c1", 2, False, 21)
+    assert restored == ["state at 20"]
+    assert [entry.command for entry in node.persistent.entries] == ["a"]
+    assert node.committed == [(21, "a")]
+    assert install(3, "c2", 30).success
+    assert restored == ["state at 20", "state at 30"]
+    assert node.commit_index == 30
--- a/valverouter/fleet/fragmentation.py
+++ b/valverouter/fleet/fragmentation.py
@@ -16,7 +16,8 @@
 
 # Bytes of the message in each fragment: the datagram has to stay below authentication.MAX_DATAGRAM_BYTES.
 FRAGMENT_BYTES = 1_200
-MAX_FRAGMENTS = 2_048
+# A raft snapshot of 900 instances with all the ended operations that are kept takes 2,959.
+MAX_FRAGMENTS = 4_096
 # Fragments of one message that leave at once; each retransmission of a longer one continues after these.
 BURST_FRAGMENTS = 48
 # Incomplete incoming messages, and long outgoing ones whose position is remembered; the oldest are evicted.
