A new connection keeps its first set-up although the process stood still meanwhile

Callers saw: a set-up that was the first on its connection, written while the process stood still for over 2 s (a paused machine), had no answer; its connection was reset.

Cause: the limit for new connections that say nothing of use was the deadline of one cancel scope around the whole reading. After a stop the bytes and the passed deadline come to the same pass of the event loop: the set-up is read and handled, and the task's next wait cancelled.

Mend: receive_by bounds one wait, and returns what has arrived although its deadline has passed. It holds because nothing that can be cancelled lies between the bytes and their handling any more. Callers of both protocols and servers' welcomes read so.

--- /dev/null
+++ b/tests/test_stopped_process.py
@@ -0,0 +1,94 @@
+"""An edge proxy whose process stands still for seconds, as a paused machine does: SIGSTOP, then SIGCONT."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import trio
+
+from tests.process_rig import Drill, drill
+from tests.relayrig import configuration, set_up
+from tests.test_relayedge_races import Far, free_port, passed
+from valverouter.edge.sockets import SocketRuntime
+from valverouter.relaywire import isup
+from valverouter.signalling.greeting import Hello, Welcome
+from valverouter.signalling.setup import SetupSession
+from valverouter.terms import platform
+
+B = "b" * 16
+# Longer than a new connection may say nothing of use.
+STOP_S = platform.REQUEST_TIMEOUT / 1e9 + 0.3
+
+
+@asynccontextmanager
+async def platform_process(folder: Path, answers: bool = True) -> AsyncIterator[Drill]:
+    """The platform's edge proxy with two core servers, all connections up."""
+    async with drill(folder, servers=0) as one:
+        far = Far(one.nursery)
+        bus_at = await one.nursery.start(far.network.serve, "127.0.0.1:0", far.bus.serve)
+        servers = [await far.server(name) for name in ("s0", "s1")]
+        for server in servers:
+            server.answers = answers
+        rows = [far.row(name, number) for number, name in enumerate(("s0", "s1"))]
+        known = [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": rows}}]
+        far.bus.events += known
+        await one.relay(configuration(known, free_port(), bus_at))
+        with trio.fail_after(20):
+            while not all(len(server.streams) == 2 for server in servers):
+                await trio.sleep(0.01)
+        yield one
+
+
+@asynccontextmanager
+async def stopped(one: Drill, for_s: float) -> AsyncIterator[None]:
+    """What is sent inside lies unread until the process has been stopped for so long."""
+    one.process.send_signal(signal.SIGSTOP)
+    began = trio.current_time()
+    try:
+        yield
+        await trio.sleep_until(began + for_s)
+    finally:
+        one.process.send_signal(signal.SIGCONT)
+
+
+async def test_a_new_connection_whose_first_set_up_lay_unread_keeps_it(tmp_path: Path) -> None:
+    """The set-up was read, and its connection closed behind it without an answer.
+
+    The limit for new connections that say nothing of use had passed during the stop, and cancelled the task
+    that was just handling what had come in time (`caller-refused kind=silent`).
+    """
+    async with platform_process(tmp_path) as one:
+        stream = await SocketRuntime().connect(one.address)
+        await trio.sleep(0.1)
+        async with stopped(one, STOP_S):
+            await stream.send_all(set_up(B))
+        with trio.fail_after(10):
+            (answer,) = isup.MessageReader().feed(await stream.receive_some())
+        assert (answer.type, answer.id) == (isup.ANM, B)
+
+
+async def test_a_hello_that_lay_unread_is_welcomed(tmp_path: Path) -> None:
+    async with drill(tmp_path) as one:
+        await one.start(one.ini())
+        stream = await SocketRuntime().connect(one.address)
+        await trio.sleep(0.1)
+        session = SetupSession(Hello((1, 1), "caller", "c0"))
+        async with stopped(one, STOP_S):
+            await stream.send_all(session.hello_frame())
+        with trio.fail_after(10):
+            (welcome,) = session.receive(await stream.receive_some())
+        assert isinstance(welcome, Welcome)
+
+
+async def test_a_connection_that_says_nothing_is_closed_all_the_same(tmp_path: Path) -> None:
+    async with platform_process(tmp_path) as one:
+        silent = await SocketRuntime().connect(one.address)
+        await trio.sleep(0.1)
+        async with stopped(one, STOP_S):
+            pass
+        with trio.fail_after(10):
+            assert await silent.receive_some() == b""
+        await (await passed(one.address)).aclose()
--- a/valverouter/edge/caller.py
+++ b/valverouter/edge/caller.py
@@ -10,7 +10,7 @@
 import structlog
 import trio
 
-from valverouter.edge.connections import isolate_failure, send_farewell
+from valverouter.edge.connections import isolate_failure, receive_by, send_farewell
 from valverouter.edge.queues import EventQueue, SendBatch, SendQueue, SendQueueFullError
 from valverouter.edge.runtime import READ_SIZE
 from valverouter.signalling import setup
@@ -164,21 +164,21 @@
             self._scope.cancel()
 
     async def _read(self, stream: trio.abc.Stream) -> None:
-        with trio.fail_after(self._config.hello_within / 1e9) as patience:
-            while data := await stream.receive_some(READ_SIZE):
-                # Before its messages are taken apart: ten thousand callers' reads at once would each go past
-                # the bound by hundreds of events, here they hold their bytes.
-                await self._events.wait_for_space()
-                for message in self._session.receive(data):
-                    if isinstance(message, Hello):
-                        patience.deadline = float("inf")
-                        self.name = message.name
-                        self.send(msgspec.structs.replace(self._welcome, version=self._session.version))
-                    elif isinstance(message, NotUnderstood):
-                        self.send(message)
-                    else:
-                        self.enqueue(message)
-            self._session.end()
+        deadline = trio.current_time() + self._config.hello_within / 1e9
+        while data := await receive_by(stream, READ_SIZE, deadline):
+            # Before its messages are taken apart: ten thousand callers' reads at once would each go past the
+            # bound by hundreds of events, here they hold their bytes.
+            await self._events.wait_for_space()
+            for message in self._session.receive(data):
+                if isinstance(message, Hello):
+                    deadline = float("inf")
+                    self.name = message.name
+                    self.send(msgspec.structs.replace(self._welcome, version=self._session.version))
+                elif isinstance(message, NotUnderstood):
+                    self.send(message)
+                else:
+                    self.enqueue(message)
+        self._session.end()
 
 
 class DetachedCaller(CallerConnection):
--- a/valverouter/edge/connections.py
+++ b/valverouter/edge/connections.py
@@ -26,6 +26,21 @@
         log.critical("connection-failed", what=kind, peer=peer(), exc_info=True)
 
 
+async def receive_by(stream: trio.abc.Stream, max_bytes: int, deadline: float) -> bytes:
+    """What arrives by `deadline`, in seconds of trio's clock; empty: the peer has closed.
+
+    Raises trio.TooSlowError where nothing has arrived. The deadline bounds the wait alone: with one scope
+    around the whole reading, what had come in time while this process was stopped was read, and its
+    connection cancelled while it was handled.
+    """
+    if deadline != float("inf"):
+        with trio.move_on_at(deadline):
+            return bytes(await stream.receive_some(max_bytes))
+        if not getattr(stream, "has_unread_data", False):
+            raise trio.TooSlowError
+    return bytes(await stream.receive_some(max_bytes))
+
+
 async def send_farewell(stream: trio.abc.Stream, session: Session, error: ProtocolError) -> None:
     """Sends the one clear error, if the peer still reads; its connection is closed either way.
 
--- a/valverouter/edge/link.py
+++ b/valverouter/edge/link.py
@@ -9,7 +9,7 @@
 import structlog
 import trio
 
-from valverouter.edge.connections import isolate_failure, send_farewell
+from valverouter.edge.connections import isolate_failure, receive_by, send_farewell
 from valverouter.edge.queues import EventQueue, SendBatch, SendQueue, SendQueueFullError
 from valverouter.edge.runtime import READ_SIZE, Runtime
 from valverouter.signalling import setup
@@ -255,19 +255,19 @@
             await trio.sleep_until((trio.current_time() if since is None else since) + limit)
 
     async def _read(self, stream: trio.abc.Stream, session: SetupSession) -> None:
-        with trio.fail_after(self._config.hello_within / 1e9) as patience:
-            while data := await stream.receive_some(READ_SIZE):
-                self._awaiting_since = None
-                await self._events.wait_for_space()
-                for message in session.receive(data):
-                    if isinstance(message, Provisional):
-                        continue  # checked by the session; it changes nothing here
-                    if isinstance(message, Welcome):
-                        patience.deadline = float("inf")
-                        self._events.put(LinkUp(self, message))
-                    elif isinstance(message, NotUnderstood):
-                        log.info("message-not-understood", server=self.server, kind=message.kind)
-                        self.send(message)
-                    else:
-                        self._events.put(ServerMessage(self, message))
-            session.end()
+        deadline = trio.current_time() + self._config.hello_within / 1e9
+        while data := await receive_by(stream, READ_SIZE, deadline):
+            self._awaiting_since = None
+            await self._events.wait_for_space()
+            for message in session.receive(data):
+                if isinstance(message, Provisional):
+                    continue  # checked by the session; it changes nothing here
+                if isinstance(message, Welcome):
+                    deadline = float("inf")
+                    self._events.put(LinkUp(self, message))
+                elif isinstance(message, NotUnderstood):
+                    log.info("message-not-understood", server=self.server, kind=message.kind)
+                    self.send(message)
+                else:
+                    self._events.put(ServerMessage(self, message))
+        session.end()
--- a/valverouter/relayedge/callers.py
+++ b/valverouter/relayedge/callers.py
@@ -12,6 +12,7 @@
 
 from valverouter.edge.caller import CallerConnection
 from valverouter.edge.clock import Clock
+from valverouter.edge.connections import receive_by
 from valverouter.edge.queues import EventQueue, SendBatch, SendQueueFullError
 from valverouter.interface import Deployment
 from valverouter.relayedge import translation
@@ -214,24 +215,24 @@
     async def _read(self, stream: trio.abc.Stream) -> None:
         limit = self._config.hello_within / 1e9
         is_half = False
-        with trio.fail_after(limit) as patience:
-            while data := await stream.receive_some(CALLER_READ_SIZE):
-                # A dialog's time runs from its last byte, not from when it is handled.
-                received_at = self._clock.now()
-                for message in self._reader.feed(data):
-                    if self._scope.cancel_called:
-                        return
-                    self._on_message(message, received_at)
-                self._connected.on_received(self)
-                was_half, is_half = is_half, self._reader.has_partial_message
-                if is_half and not was_half and self.is_useful:
-                    patience.deadline = trio.current_time() + limit
-                elif self.is_useful and not is_half:
-                    patience.deadline = float("inf")
-                if len(self.pending_setups) >= MAX_PENDING_SETUPS:
-                    # One with few pending set-ups is read on, however full the queue is: its next message may
-                    # be a cancel, and its end would go unseen.
-                    await self._events.wait_for_space()
+        deadline = trio.current_time() + limit
+        while data := await receive_by(stream, CALLER_READ_SIZE, deadline):
+            # A dialog's time runs from its last byte, not from when it is handled.
+            received_at = self._clock.now()
+            for message in self._reader.feed(data):
+                if self._scope.cancel_called:
+                    return
+                self._on_message(message, received_at)
+            self._connected.on_received(self)
+            was_half, is_half = is_half, self._reader.has_partial_message
+            if is_half and not was_half and self.is_useful:
+                deadline = trio.current_time() + limit
+            elif self.is_useful and not is_half:
+                deadline = float("inf")
+            if len(self.pending_setups) >= MAX_PENDING_SETUPS:
+                # One with few pending set-ups is read on, however full the queue is: its next message may be
+                # a cancel, and its end would go unseen.
+                await self._events.wait_for_space()
 
     def _on_message(self, message: isup.Message, received_at: int) -> None:
         if message.type == isup.TEST:
