A stop of the process does not give unread set-ups their time anew on the platform

Cause: what came during a stop counts from the stop's beginning, but the platform's callers give the moment when their bytes were read, and that moment, the wake, went before.

Mend: the earlier of the two counts. It holds since a set-up can't have come before it could have come; one that came late in the stop has a little less time than it was given. A stop longer than the set-up's whole time stays a limit of design (docs/ROADMAP.md).

--- a/tests/test_stopped_process.py
+++ b/tests/test_stopped_process.py
@@ -92,3 +92,22 @@
         with trio.fail_after(10):
             assert await silent.receive_some() == b""
         await (await passed(one.address)).aclose()
+
+
+async def test_a_set_up_that_lay_unread_has_its_answer_within_its_caller_s_time(tmp_path: Path) -> None:
+    """Its time began anew with the wake: the answer came 1.4 s after its caller had given up.
+
+    The platform's callers tell when their bytes were read, which went before what is known of a stop.
+    """
+    left_s = 2.0
+    async with platform_process(tmp_path, answers=False) as one:
+        stream = await passed(one.address)
+        await trio.sleep(0.3)
+        async with stopped(one, 1.5):
+            await stream.send_all(set_up(B, left=round(left_s * 1e3)))
+            sent_at = trio.current_time()
+        with trio.fail_after(10):
+            (answer,) = isup.MessageReader().feed(await stream.receive_some())
+        assert (answer.type, answer.id) == (isup.REL, B)
+        # The platform's slack on every time limit.
+        assert trio.current_time() - sent_at <= left_s + 0.05
--- a/valverouter/edge/caller_requests.py
+++ b/valverouter/edge/caller_requests.py
@@ -26,12 +26,17 @@
         """A caller asks for a dialog, or cancels or releases one."""
         message = event.message
         if isinstance(message, setup.Setup):
-            context = self._context
-            unread = context.unread_since and self._received_during_stall(message.time_left)
-            self.accept(event.caller, message, event.received_at or unread or context.now)
+            self.accept(event.caller, message, self._received_at(event, message.time_left))
         else:
             self.on_cancel_or_release(event.caller, message)
 
+    def _received_at(self, event: CallerMessage, no_answer: int) -> int:
+        """When a set-up came. What was read after a stop may have come long before."""
+        context = self._context
+        read_at = event.received_at or context.now
+        unread = context.unread_since and self._received_during_stall(no_answer)
+        return min(read_at, unread) if unread else read_at
+
     def _received_during_stall(self, no_answer: int) -> int:
         """When a set-up came that lay unread while this process was stopped; 0 where that can't be said.
 
