--- a/valverouter/days/loopback.py
+++ b/valverouter/days/loopback.py
@@ -133,6 +133,23 @@
                 self.name, line.event, line.address, line.member, line.incarnation
             )
 
+    @property
+    def config_file(self) -> Path:
+        """The file that it is started with, and reads again at SIGHUP."""
+        return self._config_file
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Sends a signal to its process, unless that is over."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    async def wait_until_ended(self, timeout_s: float) -> bool:
+        """Whether its process has ended within so many seconds."""
+        if self._process is not None:
+            with trio.move_on_after(timeout_s):
+                await self._process.wait()
+        return self.returncode is not None
+
     @property
     def returncode(self) -> int | None:
         """The exit status of its last process, None while it runs or before it ran."""
