A stall of an emulated edge proxy ends with its process

Cause: a stall's end is told to the incarnation that was stalled, and the next one took over _stalled_until, so it deferred every event for good.

Mend: stop() ends the stall. It holds since every way out of a process goes through stop(). Test: a stall of 2 s and a kill within it; before no answer from then on, now over 20 after the restart.

--- a/tests/knownred.py
+++ b/tests/knownred.py
@@ -1,10 +1,10 @@
 """KNOWN-RED.txt: faults that are known and not mended yet.
 
 One entry a line, `TEST | COMMAND | SEEN | ISSUE`: the test by its pytest id, or `-` where only a program of
-the project shows the fault; the command that shows it, with its seed where it draws; what was seen; the issue's
-number. A listed test must fail, and a listed command must be one that can still be run; the test set prints
-each entry. What fails only at times is listed by a command and seed that make it fail. There is no bound on
-the number of entries: the operators took it back, since it made people leave faults unnamed.
+the project shows the fault; the command that shows it, with its seed where it draws; what was seen; the
+issue's number. A listed test must fail, a listed command must be one that can still be run, and the test set
+prints each entry. What fails only at times is listed by a command and seed that make it fail. There is no
+bound on the number of entries: the operators took it back, since it made people leave faults unnamed.
 """
 
 from __future__ import annotations
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -139,6 +139,39 @@
     return scenario_config(IniFile(text, name), name)
 
 
+STALLED_THEN_KILLED = """
+[trouble stop]
+kind = balancer_stall
+start = 1s
+length = 2s
+on = e0
+
+[trouble kill]
+kind = balancer_crash
+start = 2s
+length = 500ms
+on = e0
+"""
+
+
+def test_an_edge_proxy_killed_while_it_is_stalled_serves_after_its_restart() -> None:
+    """The new process went on deferring all events: the end of a stall was told to its own process alone.
+
+    Of a day of 8 s, e0's callers had no answer from the stall's beginning on.
+    """
+    text = (DAYS / "bad-day.ini").read_text().replace("length = 30s", "length = 8s")
+    text = text[: text.index("[trouble")] + STALLED_THEN_KILLED
+    rows = run_emulated(scenario_config(IniFile(text, "stalled"), "stalled")).rows
+    answers = [
+        (row.at - rows[0].at) / SECOND
+        for row in rows
+        if isinstance(row, MessageRow) and row.edge == "e0" and row.kind == "stands" and not row.sent
+    ]
+    # The callers start 1 s after the record does.
+    assert sum(at < 2 for at in answers) > 5
+    assert sum(at > 4.5 for at in answers) > 20
+
+
 def test_the_same_day_gives_the_same_rows_and_another_seed_others() -> None:
     played = short("bad-day.ini")
     first, second = run_emulated(played).rows, run_emulated(played).rows
--- a/valverouter/emulator/edge_runtime.py
+++ b/valverouter/emulator/edge_runtime.py
@@ -69,6 +69,8 @@
     def stop(self) -> None:
         """Ends the process; events that it has not handled are lost."""
         self.is_running = False
+        # A stall ends with its process: its end is told to that incarnation alone.
+        self._stalled_until = 0
         self._deferred.clear()
         self._deferred_updates.clear()
 
