--- a/valverouter/soak/edge_run.py
+++ b/valverouter/soak/edge_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import signal
 from collections import Counter
 from contextlib import suppress
@@ -107,6 +108,7 @@
         self.record = CourseRecord()
         self._course = course
         self._folder = folder
+        self._rng = random.Random(f"soak/{course.seed}/run")
         self._violations: list[str] = []
         self._margins: list[int] = []
 
@@ -158,6 +160,7 @@
 
     async def _run_crowd_connection(self, edge: LoopbackEdge) -> None:
         """A connection that says nothing, for as long as it may."""
+        await trio.sleep(self._rng.random() * self._course.stop_s)
         with suppress(OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             async with await SocketRuntime().connect(edge.address) as stream:
                 while await stream.receive_some(READ_SIZE):
