--- a/valverouter/fleet/fragmentation.py
+++ b/valverouter/fleet/fragmentation.py
@@ -16,7 +16,7 @@
 
 # Bytes of the message in each fragment: the datagram has to stay below authentication.MAX_DATAGRAM_BYTES.
 FRAGMENT_BYTES = 1_200
-# A raft snapshot of 900 instances with all the ended operations that are kept takes 2,959.
+# Enough for a raft snapshot of 900 instances with all the ended operations that are kept.
 MAX_FRAGMENTS = 4_096
 # Fragments of one message that leave at once; each retransmission of a longer one continues after these.
 BURST_FRAGMENTS = 48
