A comment in the protocol's terms; two unused members of the soak are out

Read once more: the comment at the refused Release used a metaphor; EdgeProcess.has_ended and PlatformRun._process had no reader. Behaviour as it was.

--- a/valverouter/signalling/setup.py
+++ b/valverouter/signalling/setup.py
@@ -266,8 +266,8 @@
             if is_sent:
                 raise _out_of_state(f"{message_name(kind)} for {key}, which is not open")
         elif kind is not Cancel and phase is not LegPhase.ESTABLISHED:
-            # CLOSING is no licence: behind a Cancel the server may still have the leg open, and it ends the
-            # connection, with every other dialog on it, over a Release of what is not established.
+            # CLOSING does not mean established: behind a Cancel the server may still have the leg open. A
+            # Release is out of state there, which ends the connection and every other dialog on it.
             raise _out_of_state(f"{message_name(kind)} for {key}, which does not stand")
         elif self.is_client and kind is not Persisted:
             # The server retains the phase: it decides between Ended and Cancelled.
--- a/valverouter/soak/platform_run.py
+++ b/valverouter/soak/platform_run.py
@@ -72,7 +72,6 @@
         self._bus_address = ""
         self._hangup_bus_address = ""
         self._last_connection_at = float("inf")
-        self._process: EdgeProcess | None = None
 
     async def play(self) -> CourseVerdict:
         """Plays the course and judges it."""
@@ -110,7 +109,7 @@
         self._write_config(FileChange.REPLACED)
         record = ProcessRecord(number)
         self.record.processes.append(record)
-        self._process = process = EdgeProcess(record, self._folder / f"n0-{number}.log")
+        process = EdgeProcess(record, self._folder / f"n0-{number}.log")
         async with trio.open_nursery() as nursery:
             environment = {"RELAY_CONFIG": str(self._config_file)}
             await nursery.start(process.run, self._command, environment)
--- a/valverouter/soak/process.py
+++ b/valverouter/soak/process.py
@@ -99,11 +99,6 @@
             self.address = parsed.address
             self._listening.set()
 
-    @property
-    def has_ended(self) -> bool:
-        """Whether the process is over."""
-        return self._process is not None and self._process.poll() is not None
-
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal, unless the process is over."""
         assert self._process is not None
