--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -441,9 +441,12 @@
 class Edge:
     """One edge proxy, started as a process by the `run` command of the deploy file."""
 
-    def __init__(self, folder: Path, bus: EventBus, record: Record, settings: dict[str, Any]) -> None:
+    def __init__(
+        self, folder: Path, bus: EventBus, record: Record, settings: dict[str, Any], name: str = "n0"
+    ) -> None:
         """`folder` holds the configuration and the log."""
-        self.address = free_address()
+        self.address, self.name = free_address(), name
+        folder.mkdir(exist_ok=True)
         self._folder, self._bus, self._record, self._settings = folder, bus, record, settings
         self._process: asyncio.subprocess.Process | None = None
 
@@ -451,7 +454,7 @@
         """Writes the configuration file, with the events of the bus up to now."""
         path = self._folder / "config.json"
         content = {
-            "name": "n0",
+            "name": self.name,
             "listen": self.address,
             "seed": os.urandom(8).hex(),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -470,7 +473,7 @@
         temporary = self._folder / "tmp"
         temporary.mkdir(exist_ok=True)
         environment = os.environ | {
-            "RELAY_NAME": "n0",
+            "RELAY_NAME": self.name,
             "RELAY_LISTEN": self.address,
             "RELAY_CONFIG": str(self.write_configuration()),
             "TMPDIR": str(temporary),
@@ -479,7 +482,7 @@
             self._process = await asyncio.create_subprocess_exec(
                 "/bin/sh", "-c", command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
-        self._record.write("edge", "started", address=self.address)
+        self._record.write(self.name, "started", address=self.address)
         for _ in range(300):
             await asyncio.sleep(0.03)
             front = Caller(self._record, "front")
@@ -490,7 +493,7 @@
             passed = await front.test()
             front.close()
             if passed:
-                self._record.write("edge", "ready")
+                self._record.write(self.name, "ready")
                 return
         raise CannotRunError("the edge proxy did not get ready")
 
@@ -502,7 +505,7 @@
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
         assert self._process is not None
-        self._record.write("edge", number.name)
+        self._record.write(self.name, number.name)
         self._process.send_signal(number)
 
     async def kill(self) -> None:
@@ -513,7 +516,8 @@
 
     def log_text(self) -> str:
         """Returns what the process has logged."""
-        return (self._folder / "edge.log").read_text("utf-8", "replace")
+        path = self._folder / "edge.log"
+        return path.read_text("utf-8", "replace") if path.exists() else ""
 
 
 class CannotRunError(Exception):
@@ -529,10 +533,12 @@
         self.folder = folder
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.bus = EventBus(record)
+        self.edges: list[Edge] = []
 
-    def edge(self, settings: dict[str, Any] | None = None) -> Edge:
-        """Returns an edge proxy that isn't started."""
-        return Edge(self.folder, self.bus, self.record, settings or SETTINGS)
+    def edge(self, settings: dict[str, Any] | None = None, name: str = "n0") -> Edge:
+        """Returns an edge proxy that isn't started; it is killed when the case has been played."""
+        self.edges.append(Edge(self.folder / name, self.bus, self.record, settings or SETTINGS, name))
+        return self.edges[-1]
 
 
 def run_case(file: str, play: Callable[[World], Awaitable[list[str]]]) -> int:
@@ -542,23 +548,13 @@
     async def bounded() -> list[str]:
         with tempfile.TemporaryDirectory() as folder:
             world = World(Path(folder), record)
-            edges: list[Edge] = []
-            make_edge = world.edge
-
-            def tracked(settings: dict[str, Any] | None = None) -> Edge:
-                edges.append(make_edge(settings))
-                return edges[-1]
-
-            world.edge = tracked  # type: ignore[method-assign]
             try:
                 async with asyncio.timeout(100):
                     return await play(world)
             finally:
-                for edge in edges:
+                for edge in world.edges:
                     await edge.kill()
-                log = Path(folder) / "edge.log"
-                if log.exists():
-                    record.write("edge", "log:\n" + log.read_text("utf-8", "replace"))
+                    record.write(edge.name, "log:\n" + edge.log_text())
 
     try:
         breaches = asyncio.run(bounded())
