--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -440,6 +440,39 @@
                 self.send(encode(RELEASED, id_))
 
 
+class DelayedPath:
+    """The way between callers and an edge proxy: each byte and each close takes `delay` seconds."""
+
+    def __init__(self, delay: float) -> None:
+        """Does not listen yet."""
+        self.port = 0
+        self._delay = delay
+        self._target = 0
+
+    async def start(self, target: int) -> None:
+        """Starts to pass connections on to the port `target`."""
+        self._target = target
+        server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            far_reader, far_writer = await asyncio.open_connection(HOST, self._target)
+            await asyncio.gather(self._pass(reader, far_writer), self._pass(far_reader, writer))
+
+    async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(OSError):
+            while data := await reader.read(64 * 1024):
+                loop.call_later(self._delay, _write_if_open, writer, data)
+        loop.call_later(self._delay, writer.close)
+
+
+def _write_if_open(writer: asyncio.StreamWriter, data: bytes) -> None:
+    if not writer.is_closing():
+        writer.write(data)
+
+
 class EdgeProxy:
     """One edge proxy: the process that the deploy file's `run` starts."""
 
