End reported calls whose core server has restarted since this process's start

Cause: a death ended the calls in the link's table at that moment and was then forgotten, and a reported call counted as established at its report (platform_edge/link.py, add_established, _record_established). A new start listed before the report, one listed after it, refused connects before it, and a server gone and listed again: none ended it.

Change: EstablishedDialogs keeps for each call the latest time at which it can have been established (for a reported one: this process's start) and the time of the server's last known death; they are compared at the report and at each later word. A call found over that way is also released at the server, so that both sides agree if it stood after all. Silence alone is no proof of a death and is not kept.

Open: a server whose new start lies before our own; the messages can't tell its old calls from its new ones.

--- /dev/null
+++ b/tests/test_platform_edge_reports.py
@@ -0,0 +1,123 @@
+"""Dialogs that callers report after this process's start: those already interrupted are ended at once."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from tests.platform_harness import WALL_MS, PlatformHarness, host_row, release_line, running_platform_edge
+from valverouter.platform_protocol import isup
+
+A, B = "a" * 16, "b" * 16
+ESTABLISHED_AT_S0 = "dest:0;width:1;at:s0"
+ANSWERED, CUT = (isup.ANM, B, -1), (isup.REL, A, 41)
+# The platform's limit for telling a caller of an end that no release could be sent for, in seconds.
+UNSENT_RELEASE_LIMIT_S = 8
+
+
+def wall_ms() -> int:
+    """Returns the harness's wall time in Unix milliseconds."""
+    return WALL_MS + round(trio.current_time() * 1_000)
+
+
+async def restart_s0(harness: PlatformHarness, downtime_s: float) -> int:
+    """Kills s0 and starts it again; returns its new start time as on the event bus."""
+    server = harness.servers["s0"]
+    server.scope.cancel()
+    await server.reset()
+    await trio.sleep(downtime_s)
+    born_ms = wall_ms()
+    await harness.nursery.start(server.run)
+    await trio.sleep(1)
+    return born_ms
+
+
+async def test_a_reported_dialog_of_a_server_that_restarted_since_our_start_is_cut(
+    autojump_clock: MockClock,
+) -> None:
+    # Guards against reports that counted as established at the time of the report: the restart had passed, no
+    # later event ended them, and their callers were never told (review/2).
+    async with running_platform_edge() as harness:
+        born_ms = await restart_s0(harness, downtime_s=0)
+        harness.bus.publish(host_row("s0", 0, born_ms=born_ms))
+        await trio.sleep(1)
+        client = await harness.client()
+        await client.send_setup(A, ESTABLISHED_AT_S0)
+        await harness.wait_until(lambda: client.responses == [CUT], 1)
+        assert not harness.edge.dialogs.entries
+
+
+async def test_a_reported_dialog_is_cut_when_the_bus_shows_the_restart_after_the_report(
+    autojump_clock: MockClock,
+) -> None:
+    async with running_platform_edge() as harness:
+        born_ms = await restart_s0(harness, downtime_s=0)
+        client = await harness.client()
+        await client.send_setup(A, ESTABLISHED_AT_S0)
+        await client.send_setup(B)
+        await trio.sleep(1)
+        assert client.responses == [ANSWERED]
+        harness.bus.publish(host_row("s0", 0, born_ms=born_ms))
+        await harness.wait_until(lambda: client.responses == [ANSWERED, CUT], 1)
+
+
+async def test_a_reported_dialog_of_a_server_that_refused_connections_since_our_start_is_cut(
+    autojump_clock: MockClock,
+) -> None:
+    async with running_platform_edge() as harness:
+        await restart_s0(harness, downtime_s=3)
+        client = await harness.client()
+        await client.send_setup(A, ESTABLISHED_AT_S0)
+        await harness.wait_until(lambda: client.responses == [CUT], 1)
+
+
+async def test_a_reported_dialog_of_a_server_that_was_gone_and_is_listed_again_is_cut(
+    autojump_clock: MockClock,
+) -> None:
+    async with running_platform_edge() as harness:
+        harness.bus.publish(host_row("s0", 0, "Gone"))
+        await trio.sleep(1)
+        harness.bus.publish(host_row("s0", 0, born_ms=wall_ms()))
+        await trio.sleep(1)
+        client = await harness.client()
+        await client.send_setup(A, ESTABLISHED_AT_S0)
+        await harness.wait_until(lambda: client.responses == [CUT], 1)
+
+
+@pytest.mark.parametrize("downtime_s", [0, 3])
+async def test_a_dialog_reported_while_its_server_is_down_is_cut_within_the_limit(
+    autojump_clock: MockClock, downtime_s: float
+) -> None:
+    async with running_platform_edge() as harness:
+        harness.servers["s0"].scope.cancel()
+        await trio.sleep(downtime_s)
+        client = await harness.client()
+        await client.send_setup(A, ESTABLISHED_AT_S0)
+        await harness.wait_until(lambda: client.responses == [CUT], UNSENT_RELEASE_LIMIT_S)
+
+
+async def test_a_reported_dialog_of_a_server_that_started_before_us_stays_established(
+    autojump_clock: MockClock,
+) -> None:
+    async with running_platform_edge() as harness:
+        harness.bus.publish(host_row("s0", 0, born_ms=WALL_MS - 1))
+        await trio.sleep(1)
+        client, server = await harness.client(), harness.servers["s0"]
+        await client.send_setup(B)
+        await client.send_setup(A, ESTABLISHED_AT_S0)
+        await trio.sleep(10)
+        assert client.responses == [ANSWERED]
+        await server.send(server.streams[0], release_line(A, 16))
+        await harness.wait_until(lambda: client.responses == [ANSWERED, (isup.REL, A, 16)], 1)
+
+
+async def test_a_dialog_cut_at_its_report_is_released_at_its_server(autojump_clock: MockClock) -> None:
+    # If the server still has the dialog after all, it must not keep it: its caller was told that it ended.
+    async with running_platform_edge() as harness:
+        born_ms = await restart_s0(harness, downtime_s=0)
+        harness.bus.publish(host_row("s0", 0, born_ms=born_ms))
+        await trio.sleep(1)
+        client = await harness.client()
+        await client.send_setup(A, ESTABLISHED_AT_S0)
+        await harness.wait_until(lambda: harness.servers["s0"].received_ids("release") == [A], 1)
--- a/valverouter/edge/context.py
+++ b/valverouter/edge/context.py
@@ -45,9 +45,10 @@
 class ProxyContext:
     """The state that all components of an edge proxy read; each component keeps its own tables.
 
-    `now` is the time of the current turn in nanoseconds, `config` the active configuration. `epoch` is sent
-    to peers; it is positive if accepted dialogs survive a restart. After a stall, `unread_since` is the time
-    of the last turn before it, until everything that arrived during the stall has been handled; else it is 0.
+    `now` is the time of the current turn and `started_at` that of this proxy's start, both in nanoseconds;
+    `config` is the active configuration. `epoch` is sent to peers; it is positive if accepted dialogs survive
+    a restart. After a stall, `unread_since` is the time of the last turn before it, until everything that
+    arrived during the stall has been handled; else it is 0.
     """
 
     def __init__(self, config: EdgeConfig, runtime: Runtime, epoch: int = 0) -> None:
@@ -59,7 +60,7 @@
         self.clock = Clock(runtime.wall_time())
         self.attempt_policies = AttemptPolicies(config) if config.attempts else None
         self.generation = 1
-        self.now = self.clock.now()
+        self.now = self.started_at = self.clock.now()
         self.cross_region = CrossRegionLimiter(config.crossing, self.now) if config.crossing else None
         self.driver = Driver(config.deployment, config.seed, self.now, self.cross_region)
         self.events = EventQueue()
--- a/valverouter/edge/proxy.py
+++ b/valverouter/edge/proxy.py
@@ -82,7 +82,7 @@
         self.address = ""
         self.ended = trio.Event()
         self.context = context = ProxyContext(config, runtime, epoch)
-        self.incarnation = context.now
+        self.incarnation = context.started_at
         self.reloader = ConfigReloader(context)
         self.source = self._make_source()
         self.links = self._make_links()
--- a/valverouter/platform_edge/dialogs.py
+++ b/valverouter/platform_edge/dialogs.py
@@ -149,9 +149,13 @@
             reason = "over" if was_interrupted is False else "cut"
             event.caller.send(setup.Ended(request.dialog, 0, reason))
             return
+        if link.has_interrupted_reported:
+            link.release_reported(request.dialog)
+            event.caller.send(setup.Ended(request.dialog, 0, "cut"))
+            return
         if len(self._entries) >= self._context.config.links.open_dialogs:
             return
-        link.add_established((request.dialog, 0))
+        link.add_reported((request.dialog, 0))
         # The session description is dropped: it would use memory for as long as the dialog is established.
         request = msgspec.structs.replace(request, description="")
         self._entries[request.dialog] = DialogEntry(
--- a/valverouter/platform_edge/link.py
+++ b/valverouter/platform_edge/link.py
@@ -16,6 +16,7 @@
 from valverouter.edge.queues import EventQueue, SendBatch, SendQueue, SendQueueFullError
 from valverouter.edge.runtime import READ_SIZE, Runtime
 from valverouter.platform_edge import translation
+from valverouter.platform_edge.established_dialogs import EstablishedDialogs
 from valverouter.platform_edge.server_connection import ServerConnection
 from valverouter.platform_edge.unknown_releases import UnknownReleases
 from valverouter.platform_protocol import lines
@@ -47,15 +48,15 @@
         reconnect_delay: ReconnectDelay,
         batch: SendBatch,
         unknown_releases: UnknownReleases,
+        proxy_started_at: int,
     ) -> None:
+        """`proxy_started_at`: when this edge proxy started, Unix time in nanoseconds."""
         super().__init__(server, address, "", config, runtime, events, reconnect_delay, batch)
         self._unknown_releases = unknown_releases
         self._connections: list[ServerConnection] = []
         self._connecting = 0
-        # The attempt key of each established dialog, by dialog id. Updated together with `attempts`.
-        self._established: dict[str, tuple[str, int]] = {}
-        # When each was established, Unix time in nanoseconds. Updated together with `_established`.
-        self._established_at: dict[str, int] = {}
+        # Updated together with `attempts`.
+        self._established = EstablishedDialogs(proxy_started_at)
         # Releases to send on the next connection, with their causes, by dialog id.
         self._pending_releases: dict[str, int] = {}
         self._refused_connect_count = 0
@@ -83,34 +84,32 @@
             and not any(connection.can_start(key[0]) for connection in self._connections)
         )
 
-    def add_established(self, key: tuple[str, int]) -> None:
+    @property
+    def has_interrupted_reported(self) -> bool:
+        """Whether a dialog that a caller reports as established here has been interrupted already."""
+        return self._established.are_reported_ones_interrupted
+
+    def add_reported(self, key: tuple[str, int]) -> None:
         """Adds a dialog that its caller reports as established at this server."""
         self.attempts[key] = False
-        self._record_established(key)
-
-    def _record_established(self, key: tuple[str, int]) -> None:
-        self._established[key[0]] = key
-        self._established_at[key[0]] = self._runtime.wall_time()
+        self._established.add_reported(key)
 
-    def _remove_established(self, dialog_id: str) -> tuple[str, int] | None:
-        self._established_at.pop(dialog_id, None)
-        return self._established.pop(dialog_id, None)
+    def release_reported(self, dialog_id: str) -> None:
+        """Releases a dialog that its caller reported and was told to have ended, in case it still stands."""
+        self._release(dialog_id)
 
-    def on_server_restarted(self, started_at: int) -> None:
-        """Ends as interrupted the dialogs established before the restart that the endpoint list reports.
+    def on_server_started(self, started_at: int) -> None:
+        """Ends as interrupted the dialogs established before the start that the endpoint list reports.
 
-        `started_at`: the Unix time of the restart in nanoseconds. Later dialogs belong to the new process,
+        `started_at`: the Unix time of the start in nanoseconds. Later dialogs belong to the new process,
         which may accept set-ups before the list shows it.
         """
-        interrupted = [
-            self._established[id_] for id_, since in self._established_at.items() if since < started_at
-        ]
-        if interrupted:
-            self._end_interrupted(frozenset(interrupted), "server restarted")
+        self._end_interrupted(self._established.remove_interrupted(started_at), "server restarted")
 
     def _end_interrupted(self, interrupted: frozenset[tuple[str, int]], reason: str) -> None:
+        if not interrupted:
+            return
         for key in interrupted:
-            self._remove_established(key[0])
             self.attempts.pop(key, None)
         log.info("server-lost", server=self.server, standing=len(interrupted), why=reason)
         self._events.put(LinkDown(self, reason, interrupted, frozenset()))
@@ -148,7 +147,7 @@
         """Cancels an open attempt or releases an established dialog; the server sends no closing message."""
         key = message.dialog, message.leg
         self.attempts.pop(key, None)
-        self._remove_established(message.dialog)
+        self._established.remove(message.dialog)
         connection = next(
             (
                 connection
@@ -214,8 +213,7 @@
         attempts, self.attempts = self.attempts, {}
         unsent = frozenset(self._early_attempts)
         self._early_attempts.clear()
-        self._established.clear()
-        self._established_at.clear()
+        self._established.remove_all()
         self._pending_releases.clear()
         self._connections.clear()
         self.has_ended = True
@@ -320,18 +318,18 @@
 
     def _end_if_unreachable(self, reason: str) -> None:
         """Ends the established dialogs as interrupted if the server is unreachable on every connection."""
-        is_unreachable = self._refused_connect_count >= 2 * CONNECTIONS_PER_SERVER
-        is_unreachable = (
-            is_unreachable
-            or trio.current_time() - self._last_received_at > platform.UNREACHABLE_TIMEOUT / 1e9
-        )
-        if is_unreachable and self._established and not self._connections:
-            # If the server was only unreachable, its dialogs are released once it is connected again.
-            self._pending_releases |= dict.fromkeys(self._established, translation.CAUSE_ENDED)
-            self._end_interrupted(
-                frozenset(self._established.values()),
-                f"{reason}, {self._refused_connect_count} connects refused",
-            )
+        if self._connections:
+            return
+        if self._refused_connect_count >= 2 * CONNECTIONS_PER_SERVER:
+            # Its process has died, and with it the dialogs that callers have not reported yet.
+            interrupted = self._established.remove_interrupted(self._runtime.wall_time())
+        elif trio.current_time() - self._last_received_at > platform.UNREACHABLE_TIMEOUT / 1e9:
+            interrupted = self._established.remove_all()
+        else:
+            return
+        # If the server was only unreachable, its dialogs are released once it is connected again.
+        self._pending_releases |= {dialog_id: translation.CAUSE_ENDED for dialog_id, _ in interrupted}
+        self._end_interrupted(interrupted, f"{reason}, {self._refused_connect_count} connects refused")
 
     async def _write_connection(self, connection: ServerConnection, stream: trio.abc.Stream) -> None:
         try:
@@ -371,7 +369,7 @@
             # Without a key it is a duplicate, or does not belong to an open attempt.
             if key is not None and message.sdp is not None:
                 del connection.open_setups[id_]
-                self._record_established(key)
+                self._established.add(key, self._runtime.wall_time())
                 load = translation.parse_load(message)
                 answer = translation.EstablishedWithDescription(*key, report=load, description=message.sdp)
                 self._events.put(ServerMessage(self, answer))
@@ -392,7 +390,7 @@
             else:
                 self.attempts.pop(key, None)
                 self._events.put(LinkDown(self, f"cause {message.cause}", frozenset((key,)), frozenset()))
-        elif (key := self._remove_established(id_)) is not None:
+        elif (key := self._established.remove(id_)) is not None:
             reason = "over" if message.cause == translation.CAUSE_ENDED else "cut"
             self._events.put(ServerMessage(self, setup.Ended(*key, reason, translation.parse_load(message))))
         else:
--- a/valverouter/platform_edge/server_links.py
+++ b/valverouter/platform_edge/server_links.py
@@ -36,17 +36,18 @@
             context.reconnect_delay,
             context.send_batch,
             self._unknown_releases,
+            context.started_at,
         )
 
     def on_endpoint_update(self, update: EndpointUpdate) -> None:
         """Applies a complete endpoint list or an incremental update."""
+        super().on_endpoint_update(update)
         for row in update.rows:
-            before = self.incarnations.current(row.server)
             link = self.by_server.get(row.server)
-            if isinstance(link, PlatformLink) and before is not None and before < row.incarnation:
-                # The new process does not know the dialogs that were established at the previous one.
-                link.on_server_restarted(row.incarnation * NS_PER_MS)
-        super().on_endpoint_update(update)
+            if isinstance(link, PlatformLink):
+                # A process that has started since does not know the dialogs established at the previous one,
+                # nor those that callers report only later.
+                link.on_server_started(row.incarnation * NS_PER_MS)
 
     def take_out_of_service(self, server: str, is_gone: bool) -> None:
         """Stops sending attempts to a draining server; closes the link to one that is gone."""
