--- a/tests/test_disconnected_callers.py
+++ b/tests/test_disconnected_callers.py
@@ -13,7 +13,7 @@
 import trio
 
 from tests.platform_harness import Client, Loopback, PlatformHarness, release_line, running_platform_edge
-from valverouter.edge.queues import GUARANTEED_REQUESTS
+from valverouter.edge.event_queue import GUARANTEED_REQUESTS
 from valverouter.platform_edge.link import CONNECTIONS_PER_SERVER
 
 A, B, LAST = "a" * 16, "b" * 16, "f" * 16
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -13,7 +13,7 @@
 
 from tests.edge_harness import INI, MS, SECOND, EdgeHarness, dial, parse_config, running_edge
 from valverouter.edge.proxy import EdgeProxy
-from valverouter.edge.queues import SendBatch, SendQueue
+from valverouter.edge.send_queue import SendBatch, SendQueue
 from valverouter.edge.sockets import PlainSocketStream, SocketRuntime, split_address
 from valverouter.interface import DialogAction, StartAttempt
 from valverouter.policy.routing import RoutingPolicy
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -31,10 +31,10 @@
 from valverouter.edge.clock import Clock
 from valverouter.edge.connections import send_error
 from valverouter.edge.discovery import DiscoveryClient
+from valverouter.edge.event_queue import GUARANTEED_REQUESTS, EventQueue
 from valverouter.edge.incarnations import IncarnationTracker
 from valverouter.edge.logs import LogWriter
 from valverouter.edge.proxy import EdgeProxy
-from valverouter.edge.queues import GUARANTEED_REQUESTS, EventQueue
 from valverouter.edge.sockets import PlainSocketStream, SocketRuntime
 from valverouter.interface import CancelAttempt, DialogAction, LoadReport, Outcome
 from valverouter.regions import cross_region_limiter
--- a/tests/test_request_flood.py
+++ b/tests/test_request_flood.py
@@ -16,9 +16,9 @@
 from tests.edge_harness import dial, running_edge
 from tests.platform_harness import SETTINGS, Loopback, encode_setup, release_line, running_platform_edge
 from valverouter.edge.caller import CallerConnection
+from valverouter.edge.event_queue import GUARANTEED_REQUESTS, MAX_REQUESTS_PER_SOURCE, EventQueue
 from valverouter.edge.fair_queue import FairQueue
 from valverouter.edge.proxy import MAX_BATCH, EdgeProxy
-from valverouter.edge.queues import GUARANTEED_REQUESTS, MAX_REQUESTS_PER_SOURCE, EventQueue
 from valverouter.edge.runtime import Runtime
 from valverouter.edge.sockets import split_address
 from valverouter.platform_edge.reported_dialogs import ReportedDialogs
--- a/valverouter/edge/caller.py
+++ b/valverouter/edge/caller.py
@@ -13,8 +13,9 @@
 
 from valverouter.config.edge import LinkConfig
 from valverouter.edge.connections import isolate_failure, receive_by, send_error
-from valverouter.edge.queues import EventQueue, SendBatch, SendQueue, SendQueueFullError
+from valverouter.edge.event_queue import EventQueue
 from valverouter.edge.runtime import READ_SIZE
+from valverouter.edge.send_queue import SendBatch, SendQueue, SendQueueFullError
 from valverouter.signalling import setup
 from valverouter.signalling.framing import ProtocolError
 from valverouter.signalling.greeting import Hello, NotUnderstood, Welcome
--- a/valverouter/edge/context.py
+++ b/valverouter/edge/context.py
@@ -15,9 +15,10 @@
 from valverouter.driver import Driver
 from valverouter.edge.attempt_policies import AttemptPolicies
 from valverouter.edge.clock import Clock, TimerQueue
+from valverouter.edge.event_queue import EventQueue
 from valverouter.edge.lifecycle import GracefulShutdown
-from valverouter.edge.queues import EventQueue, SendBatch
 from valverouter.edge.runtime import Runtime
+from valverouter.edge.send_queue import SendBatch
 from valverouter.policy.retry import retry_delay
 from valverouter.regions.cross_region_limiter import CrossRegionLimiter
 
--- a/valverouter/edge/discovery.py
+++ b/valverouter/edge/discovery.py
@@ -13,8 +13,8 @@
 from valverouter.edge.clock import Clock
 from valverouter.edge.connections import isolate_failure, send_error
 from valverouter.edge.endpoint_cache import EndpointCache
+from valverouter.edge.event_queue import EventQueue
 from valverouter.edge.link import ReconnectDelay
-from valverouter.edge.queues import EventQueue
 from valverouter.edge.runtime import READ_SIZE, Runtime
 from valverouter.interface import EndpointUpdateKind
 from valverouter.signalling.framing import ProtocolError
--- a/valverouter/platform_edge/bus_client.py
+++ b/valverouter/platform_edge/bus_client.py
@@ -7,8 +7,8 @@
 
 from valverouter.config import platform
 from valverouter.edge.connections import isolate_failure
+from valverouter.edge.event_queue import EventQueue
 from valverouter.edge.events import EndpointUpdate
-from valverouter.edge.queues import EventQueue
 from valverouter.edge.runtime import READ_SIZE, Runtime
 from valverouter.interface import EndpointUpdateKind
 from valverouter.platform_edge import translation
--- a/valverouter/platform_edge/callers.py
+++ b/valverouter/platform_edge/callers.py
@@ -14,7 +14,8 @@
 from valverouter.edge.caller import CallerConnection
 from valverouter.edge.clock import Clock
 from valverouter.edge.connections import receive_by
-from valverouter.edge.queues import EventQueue, SendBatch, SendQueueFullError
+from valverouter.edge.event_queue import EventQueue
+from valverouter.edge.send_queue import SendBatch, SendQueueFullError
 from valverouter.interface import Deployment
 from valverouter.platform_edge import translation
 from valverouter.platform_edge.request_deadline import RequestDeadline
--- a/valverouter/platform_edge/link.py
+++ b/valverouter/platform_edge/link.py
@@ -11,10 +11,11 @@
 from valverouter.config import platform
 from valverouter.config.edge import LinkConfig
 from valverouter.edge.connections import isolate_failure
+from valverouter.edge.event_queue import EventQueue
 from valverouter.edge.events import LinkDown, ServerMessage
 from valverouter.edge.link import ReconnectDelay, ServerLink
-from valverouter.edge.queues import EventQueue, SendBatch, SendQueue, SendQueueFullError
 from valverouter.edge.runtime import READ_SIZE, Runtime
+from valverouter.edge.send_queue import SendBatch, SendQueue, SendQueueFullError
 from valverouter.platform_edge import translation
 from valverouter.platform_edge.established_dialogs import EstablishedDialogs
 from valverouter.platform_edge.server_connection import ServerConnection
--- a/valverouter/platform_edge/server_connection.py
+++ b/valverouter/platform_edge/server_connection.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from valverouter.edge.queues import SendQueue
+from valverouter.edge.send_queue import SendQueue
 
 # How long after the closing message of an attempt a duplicate of it may arrive.
 DUPLICATE_WINDOW_S = 0.25
