--- a/valverouter/edge/caller.py
+++ b/valverouter/edge/caller.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -175,18 +174,10 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._scope.cancel()
 
-    async def _next_message(self, messages: Iterator[Any]) -> Any | None:
-        """Returns the next message once there is space for it in the event queue; None if there is none."""
-        if not self._events.may_request(self):
-            await self._events.wait_for_request_space(self)
-        return next(messages, None)
-
     async def _read(self, stream: trio.abc.Stream) -> None:
         deadline = trio.current_time() + self._config.hello_within / 1e9
         while data := await receive_by(stream, READ_SIZE, deadline):
-            messages = iter(self._session.receive(data))
-            # Waits before each message is decoded: one read may hold thousands.
-            while (message := await self._next_message(messages)) is not None:
+            for message in self._session.receive(data):
                 if isinstance(message, Hello):
                     deadline = float("inf")
                     self.name = message.name
@@ -195,6 +186,9 @@
                     self.send(message)
                 else:
                     self.enqueue(message)
+                if not self._events.may_request(self):
+                    # Waits before the next message is decoded: one read may hold thousands.
+                    await self._events.wait_for_request_space(self)
         self._session.end()
 
 
--- a/valverouter/platform_edge/callers.py
+++ b/valverouter/platform_edge/callers.py
@@ -232,14 +232,16 @@
     async def _handle_input(self, data: bytes, received_at: int) -> int:
         """Handles the messages that `data` completes; returns their number."""
         message_count = 0
-        messages = self._reader.feed(data)
-        self._has_undecoded_input = True
-        while (message := await self._next_message(messages)) is not None:
+        for message in self._reader.feed(data):
             if self._scope.cancel_called:
                 break
             self._on_message(message, received_at)
             message_count += 1
-        self._has_undecoded_input = False
+            if not self._events.may_request(self):
+                # Waits before the next message is decoded: one read may hold a thousand.
+                self._has_undecoded_input = True
+                await self._events.wait_for_request_space(self)
+                self._has_undecoded_input = False
         return message_count
 
     def _on_message(self, message: isup.Message, received_at: int) -> None:
