Bound the releases that wait for a server's next connection

Found by reading the diff once more. Change: at most open_dialogs wait, the oldest go first; a call cut at its report is released only on a connection that is up. Measured: test_reports_at_an_unreachable_server_... [True] failed before (60 waiting at a limit of 40, growing by 20 a second) and passes; [False] passed before too, the reports there were held in the table. 105 tests of the files concerned.

--- a/tests/test_request_flood.py
+++ b/tests/test_request_flood.py
@@ -21,10 +21,11 @@
 from valverouter.edge.proxy import MAX_BATCH, EdgeProxy
 from valverouter.edge.runtime import Runtime
 from valverouter.edge.sockets import split_address
+from valverouter.platform_edge.link import PlatformLink
 from valverouter.platform_edge.reported_dialogs import ReportedDialogs
 from valverouter.platform_edge.request_deadline import RequestDeadline
 from valverouter.platform_protocol import isup
-from valverouter.scenarios.memory_network import MemoryRuntime
+from valverouter.scenarios.memory_network import MemoryNetwork, MemoryRuntime
 from valverouter.signalling.setup import Cancel, Failed, Provisional, Setup
 
 A, B = "a" * 16, "b" * 16
@@ -175,6 +176,33 @@
     return time.monotonic() - started_at
 
 
+@pytest.mark.parametrize("is_dead", [True, False])
+async def test_reports_at_an_unreachable_server_store_no_more_releases_than_dialogs(
+    autojump_clock: MockClock, is_dead: bool
+) -> None:
+    settings = copy.deepcopy(SETTINGS)
+    settings["limits"]["openCap"] = 40
+    async with running_platform_edge(settings=settings) as harness:
+        assert isinstance(harness.network, MemoryNetwork)
+        server = harness.servers["s0"]
+        if is_dead:
+            server.scope.cancel()
+        else:
+            harness.network.listeners["s0:1"] = lambda stream: None
+            server.send = lambda *_: trio.lowlevel.checkpoint()  # type: ignore[method-assign]
+        link, told = harness.edge.links.by_server["s0"], 0
+        assert isinstance(link, PlatformLink)
+        for second in range(30):
+            faulty = await harness.client()
+            reports = [f"{100 * second + at + 1:016x}" for at in range(20)]
+            for id_ in reports:
+                await faulty.send_setup(id_, "dest:0;width:1;at:s0")
+            await trio.sleep(1)
+            told += len(faulty.responses)
+            assert len(link._pending_releases) <= 40
+        assert told > 400
+
+
 async def test_a_caller_that_floods_without_a_valid_request_is_closed_in_time() -> None:
     # Guards against a deadline that applied to waits only: with bytes always unread there was no wait.
     async with running_platform_edge(network=Loopback()) as harness:
--- a/valverouter/platform_edge/link.py
+++ b/valverouter/platform_edge/link.py
@@ -96,8 +96,12 @@
         self._established.add_reported(key)
 
     def release_reported(self, dialog_id: str) -> None:
-        """Releases a dialog that its caller reported and was told to have ended, in case it still stands."""
-        self._release(dialog_id)
+        """Releases a dialog that its caller reported and was told to have ended, in case it still stands.
+
+        Without a connection nothing is stored for the next one: a faulty caller reports any number of dialogs.
+        """
+        if self._connections:
+            self._release(dialog_id)
 
     def on_server_started(self, started_at: int) -> None:
         """Ends as interrupted the dialogs established before the start that the endpoint list reports.
@@ -174,7 +178,13 @@
             self._connections[0].on_release_sent(dialog_id)
             self._put(self._connections[0], lines.encode_release(dialog_id, translation.CAUSE_ENDED))
         else:
-            self._pending_releases[dialog_id] = translation.CAUSE_ENDED
+            self._postpone_release(dialog_id)
+
+    def _postpone_release(self, dialog_id: str) -> None:
+        """Stores a release for the next connection; above the limit of dialogs, the oldest is dropped."""
+        self._pending_releases[dialog_id] = translation.CAUSE_ENDED
+        if len(self._pending_releases) > self._config.open_dialogs:
+            del self._pending_releases[next(iter(self._pending_releases))]
 
     def _has_dialog(self, dialog_id: str) -> bool:
         """Whether an attempt of this dialog is in flight or established at this server."""
@@ -329,7 +339,8 @@
         else:
             return
         # If the server was only unreachable, its dialogs are released once it is connected again.
-        self._pending_releases |= {dialog_id: translation.CAUSE_ENDED for dialog_id, _ in interrupted}
+        for dialog_id, _ in interrupted:
+            self._postpone_release(dialog_id)
         self._end_interrupted(interrupted, f"{reason}, {self._refused_connect_count} connects refused")
 
     async def _write_connection(self, connection: ServerConnection, stream: trio.abc.Stream) -> None:
