--- a/valverouter/platform_edge/link.py
+++ b/valverouter/platform_edge/link.py
@@ -98,7 +98,7 @@
     def release_reported(self, dialog_id: str) -> None:
         """Releases a dialog that its caller reported and was told to have ended, in case it still stands.
 
-        Without a connection nothing is stored for the next one: a faulty caller reports any number of dialogs.
+        Without a connection nothing is stored for the next one: a faulty caller may report any number.
         """
         if self._connections:
             self._release(dialog_id)
