Send releases only on connections known to be callers', whoever else is connected

Cause: nothing asked whether a connection is a caller's. ConnectedCallers.most_recent fell back to any open connection, and send_pending gave all waiting releases to the next connection as it was opened. A test made a connection as good as a set-up.

Fix: each connection carries the evidence that it is a caller's (CallerEvidence). A release whose caller has closed its connection goes to the open connection with the most evidence, to none without a valid set-up or report, and else waits for the first valid one. Why it holds: a connection without evidence is never chosen, in whatever order they come.

--- a/valverouter/platform_edge/caller_listener.py
+++ b/valverouter/platform_edge/caller_listener.py
@@ -10,7 +10,7 @@
 from valverouter.edge.context import ProxyContext
 from valverouter.edge.server_links import ServerLinks
 from valverouter.platform_edge.callers import AnsweredIds, ConnectedCallers, PlatformCaller, RateLimitedLog
-from valverouter.platform_edge.dialogs import ReleaseNotifier
+from valverouter.platform_edge.release_notifier import ReleaseNotifier
 
 
 class PlatformListener(CallerListener):
@@ -35,7 +35,7 @@
         self._rejection_log = RateLimitedLog()
 
     async def run_connection(self, stream: trio.abc.Stream) -> None:
-        """Serves an admitted connection; first sends it the releases that waited for a connection."""
+        """Serves an admitted connection."""
         context = self._context
         caller = PlatformCaller(
             stream,
@@ -49,9 +49,9 @@
             self._connected,
             self._answered_ids,
             self._rejection_log,
+            self._notifier,
         )
         self._connected.on_received(caller)
-        self._notifier.send_pending(caller)
         try:
             await caller.run()
         finally:
--- a/valverouter/platform_edge/callers.py
+++ b/valverouter/platform_edge/callers.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterator, Mapping, Set
 from dataclasses import dataclass
+from enum import IntEnum
 from itertools import chain
 from typing import Any
 
@@ -18,6 +19,7 @@
 from valverouter.edge.send_queue import SendBatch, SendQueueFullError
 from valverouter.interface import Deployment
 from valverouter.platform_edge import translation
+from valverouter.platform_edge.release_notifier import ReleaseNotifier
 from valverouter.platform_edge.request_deadline import RequestDeadline
 from valverouter.platform_protocol import isup
 from valverouter.signalling import setup
@@ -71,6 +73,20 @@
         return id_ in self._ids
 
 
+class CallerEvidence(IntEnum):
+    """What shows that a connection is one of callers, in ascending order.
+
+    A client that has sent no valid request, or only tests this process, has no dialogs. It discards releases.
+    """
+
+    NONE = 0
+    TESTED = 1
+    # A valid set-up, or a valid report of an established dialog.
+    REQUESTED = 2
+    # A set-up of which the dialog was established, or the release of an established one.
+    ESTABLISHED = 3
+
+
 class ConnectedCallers:
     """Callers' open connections, the least useful first.
 
@@ -112,10 +128,14 @@
             if caller not in owed and not caller.is_closed and caller.is_quiet:
                 caller.close()
 
-    def most_recent(self) -> PlatformCaller | None:
-        """The open connection with the most recent message; None if all are closed."""
+    def find_release_recipient(self) -> PlatformCaller | None:
+        """The open connection with the most evidence of being a caller's; the most recent one of several.
+
+        None if no open connection is known to be a caller's.
+        """
         latest_first = chain(reversed(self._useful), reversed(self._unproven))
-        return next((caller for caller in latest_first if not caller.is_closed), None)
+        candidates = (caller for caller in latest_first if caller.is_identified and not caller.is_closed)
+        return max(candidates, key=lambda caller: caller.evidence, default=None)
 
     def _in_order(self) -> Iterator[PlatformCaller]:
         return chain(self._unproven, self._useful)
@@ -124,9 +144,9 @@
 class PlatformCaller(CallerConnection):
     """One caller's connection on the platform.
 
-    `dialogs` holds the open ones only; established ones belong to no connection. `is_useful` is set by the
-    first valid request. Until then, and while a message is incomplete, the connection is closed by its
-    RequestDeadline.
+    `dialogs` holds those set up on it that are open or established, although established ones belong to no
+    connection. Until the first valid request, and while a message is incomplete, the connection is closed by
+    its RequestDeadline.
     """
 
     def __init__(
@@ -142,9 +162,10 @@
         connected: ConnectedCallers,
         answered_ids: AnsweredIds,
         rejection_log: RateLimitedLog,
+        release_notifier: ReleaseNotifier,
     ) -> None:
         super().__init__(stream, config, events, Welcome(0, "", 0), batch)
-        self.is_useful = False
+        self.evidence = CallerEvidence.NONE
         self._clock = clock
         self._deployment = deployment
         self._widths = widths
@@ -152,9 +173,20 @@
         self._connected = connected
         self._answered_ids = answered_ids
         self._rejection_log = rejection_log
+        self._release_notifier = release_notifier
         self._reader = isup.MessageReader()
         self._has_undecoded_input = False
 
+    @property
+    def is_useful(self) -> bool:
+        """Whether it has sent a valid request."""
+        return self.evidence > CallerEvidence.NONE
+
+    @property
+    def is_identified(self) -> bool:
+        """Whether it is known to be a caller's, so that releases may be sent on it."""
+        return self.evidence >= CallerEvidence.REQUESTED
+
     @property
     def is_idle(self) -> bool:
         """Whether closing the connection loses nothing.
@@ -175,6 +207,13 @@
         unhandled = self.pending_setups or self._has_undecoded_input or unread
         return not unhandled and self._send_queue.is_empty
 
+    def add_evidence(self, evidence: CallerEvidence) -> None:
+        """Notes evidence of being a caller's; with the first, sends the releases that wait for a caller."""
+        was_identified = self.is_identified
+        self.evidence = max(self.evidence, evidence)
+        if self.is_identified and not was_identified:
+            self._release_notifier.send_pending(self)
+
     def close(self) -> None:
         """Closes the socket at once.
 
@@ -187,6 +226,8 @@
 
     def send(self, message: Any) -> None:
         """Queues an answer or a release, if the platform's protocol has a message for it."""
+        if isinstance(message, setup.Established):
+            self.add_evidence(CallerEvidence.ESTABLISHED)
         if data := translation.encode_for_caller(message):
             self.write(data)
 
@@ -256,7 +297,7 @@
 
     def _on_message(self, message: isup.Message, received_at: int) -> None:
         if message.type == isup.TEST:
-            self.is_useful = True
+            self.add_evidence(CallerEvidence.TESTED)
             cause = bytes((int(self._is_accepting()),))
             self.write(isup.encode(isup.TESTED, message.id, {isup.CAUSE: cause}))
         elif message.type == isup.REL:
@@ -280,11 +321,10 @@
             self._rejection_log.warn(error.code, str(error))
             self.write(isup.encode_release(message.id, translation.CAUSE_INVALID_REQUEST))
             return
+        self.add_evidence(CallerEvidence.REQUESTED)
         if isinstance(request, translation.PlatformSetup):
-            self.is_useful = True
             self.enqueue(request, received_at)
         else:
-            self.is_useful = True
             self._events.put_request(self, EstablishedReported(self, request))
 
 
--- a/valverouter/platform_edge/proxy.py
+++ b/valverouter/platform_edge/proxy.py
@@ -17,12 +17,8 @@
 from valverouter.platform_edge.bus_client import BusClient
 from valverouter.platform_edge.caller_listener import PlatformListener
 from valverouter.platform_edge.callers import AnsweredIds, ConnectedCallers, EstablishedReported
-from valverouter.platform_edge.dialogs import (
-    PlatformAttempts,
-    PlatformDialogs,
-    PlatformRequests,
-    ReleaseNotifier,
-)
+from valverouter.platform_edge.dialogs import PlatformAttempts, PlatformDialogs, PlatformRequests
+from valverouter.platform_edge.release_notifier import ReleaseNotifier
 from valverouter.platform_edge.server_links import PlatformLinks
 from valverouter.platform_edge.unknown_releases import UnknownReleases
 
@@ -39,7 +35,7 @@
     def __init__(self, platform: PlatformConfig, runtime: Runtime) -> None:
         """`platform`: the complete, validated configuration."""
         self.connected = ConnectedCallers()
-        self.release_notifier = ReleaseNotifier(self.connected)
+        self.release_notifier = ReleaseNotifier(self.connected.find_release_recipient)
         self._platform = platform
         self._unknown_releases = UnknownReleases()
         self._answered_ids = AnsweredIds()
