Send a release again if its connection closed before its caller can have heard it

Cause: a release counted as delivered once it was queued on a connection not known to be closed, and was forgotten with its dialog. The close that follows, a reset, bytes left in the send queue and the caller's 'release heard' were not looked at.

test_releases_without_a_connected_caller_expire reads the new table's count; its bound is unchanged.

--- a/tests/test_platform_edge_races.py
+++ b/tests/test_platform_edge_races.py
@@ -40,7 +40,7 @@
 from valverouter.config import platform
 from valverouter.edge.sockets import SocketRuntime
 from valverouter.platform_edge.link import PlatformLink
-from valverouter.platform_edge.release_notifier import PENDING_RELEASE_LIFETIME_S
+from valverouter.platform_edge.unheard_releases import RELEASE_LIFETIME
 from valverouter.platform_protocol import isup
 from valverouter.signalling import setup
 
@@ -209,7 +209,7 @@
         for at in range(50):
             harness.edge.release_notifier.notify(caller, setup.Ended(f"{at:016x}", 0, "over"))
             await trio.sleep(1)
-        assert len(harness.edge.release_notifier._pending) <= PENDING_RELEASE_LIFETIME_S + 1
+        assert harness.edge.release_notifier.unheard_count <= RELEASE_LIFETIME / 1e9 + 1
 
 
 # Customers with different traffic types
--- a/valverouter/platform_edge/callers.py
+++ b/valverouter/platform_edge/callers.py
@@ -83,7 +83,8 @@
     TESTED = 1
     # A valid set-up, or a valid report of an established dialog.
     REQUESTED = 2
-    # A set-up of which the dialog was established, or the release of an established one.
+    # A set-up of which the dialog was established, or the release of an established one, or the
+    # acknowledgement of a release.
     ESTABLISHED = 3
 
 
@@ -134,7 +135,7 @@
         None if no open connection is known to be a caller's.
         """
         latest_first = chain(reversed(self._useful), reversed(self._unproven))
-        candidates = (caller for caller in latest_first if caller.is_identified and not caller.is_closed)
+        candidates = (caller for caller in latest_first if caller.is_identified and caller.is_reachable)
         return max(candidates, key=lambda caller: caller.evidence, default=None)
 
     def _in_order(self) -> Iterator[PlatformCaller]:
@@ -176,6 +177,7 @@
         self._release_notifier = release_notifier
         self._reader = isup.MessageReader()
         self._has_undecoded_input = False
+        self._was_reset = False
 
     @property
     def is_useful(self) -> bool:
@@ -187,6 +189,11 @@
         """Whether it is known to be a caller's, so that releases may be sent on it."""
         return self.evidence >= CallerEvidence.REQUESTED
 
+    @property
+    def has_lost_output(self) -> bool:
+        """Whether not all that was queued was sent, or the connection was reset, which discards what was."""
+        return self._was_reset or not self._send_queue.is_empty
+
     @property
     def is_idle(self) -> bool:
         """Whether closing the connection loses nothing.
@@ -212,7 +219,7 @@
         was_identified = self.is_identified
         self.evidence = max(self.evidence, evidence)
         if self.is_identified and not was_identified:
-            self._release_notifier.send_pending(self)
+            self._release_notifier.on_caller_identified(self)
 
     def close(self) -> None:
         """Closes the socket at once.
@@ -274,6 +281,9 @@
         """Returns what was received; raises trio.TooSlowError if a message was due before."""
         try:
             return await receive_by(stream, CALLER_READ_SIZE, deadline.at)
+        except trio.BrokenResourceError:
+            self._was_reset = True
+            raise
         except trio.TooSlowError:
             # Only when a release is handled is it known whether its dialog is established.
             if not self.is_useful or self._reader.has_partial_message:
@@ -306,7 +316,10 @@
             self.enqueue(setup.Cancel(message.id), received_at)
         elif message.type == isup.IAM:
             self._on_setup(message, received_at)
-        elif message.type not in (isup.RLC, isup.ACM):
+        elif message.type == isup.RLC:
+            if self._release_notifier.on_acknowledged(self, message.id):
+                self.add_evidence(CallerEvidence.ESTABLISHED)
+        elif message.type != isup.ACM:
             raise ProtocolError("out-of-state", f"message type {message.type} is not sent by callers")
 
     def _on_setup(self, message: isup.Message, received_at: int) -> None:
--- a/valverouter/platform_edge/dialogs.py
+++ b/valverouter/platform_edge/dialogs.py
@@ -49,7 +49,9 @@
 
     def end(self, entry: DialogEntry, reason: str) -> None:
         """Ends an established dialog and notifies its caller on any connection."""
-        self._notifier.notify(entry.caller, setup.Ended(entry.setup.dialog, 0, reason))
+        # Nothing confirms a report but the server's own release.
+        is_confirmed = reason == "over" or entry.setup.dialog not in self._reported
+        self._notifier.notify(entry.caller, setup.Ended(entry.setup.dialog, 0, reason), is_confirmed)
         self._counters.answers[f"ended-{reason}"] += 1
         self.remove(entry)
 
@@ -87,25 +89,31 @@
         attempts: AttemptHandler,
         links: ServerLinks,
         unknown_releases: UnknownReleases,
+        release_notifier: ReleaseNotifier,
     ) -> None:
         """`unknown_releases`: releases received for dialogs that are not reported yet."""
         super().__init__(context, dialogs, attempts)
         self._links = links.by_server
+        self._release_notifier = release_notifier
         self._unknown_releases = unknown_releases
 
     def on_caller_disconnected(self, event: CallerDisconnected) -> None:
         """Aborts the open dialogs of a closed connection; established dialogs are not affected."""
-        for dialog_id in list(event.caller.dialogs):
+        caller = event.caller
+        assert isinstance(caller, PlatformCaller)
+        for dialog_id in list(caller.dialogs):
             if not self._entries[dialog_id].is_established:
                 self._attempts.abort_dialog(dialog_id, "caller-gone")
+        self._release_notifier.on_disconnected(caller, caller.has_lost_output)
 
     def on_cancel_or_release(self, caller: CallerConnection, message: setup.LegMessage) -> None:
         """Cancels an open dialog of this connection, or releases an established one of any connection."""
+        assert isinstance(caller, PlatformCaller)
         entry = self._entries.get(message.dialog)
         if entry is None:
-            return
-        if entry.is_established:
-            assert isinstance(caller, PlatformCaller)
+            if caller.is_identified:
+                self._release_notifier.on_released_by_caller(message.dialog)
+        elif entry.is_established:
             caller.add_evidence(CallerEvidence.ESTABLISHED)
             self._dialogs.release(entry)
             self._dialogs.remove(entry)
--- a/valverouter/platform_edge/proxy.py
+++ b/valverouter/platform_edge/proxy.py
@@ -35,7 +35,6 @@
     def __init__(self, platform: PlatformConfig, runtime: Runtime) -> None:
         """`platform`: the complete, validated configuration."""
         self.connected = ConnectedCallers()
-        self.release_notifier = ReleaseNotifier(self.connected.find_release_recipient)
         self._platform = platform
         self._unknown_releases = UnknownReleases()
         self._answered_ids = AnsweredIds()
@@ -67,13 +66,21 @@
         return PlatformLinks(self.context, self.source, self._unknown_releases)
 
     def _make_dialogs(self) -> PlatformDialogs:
+        self.release_notifier = ReleaseNotifier(self.context, self.connected.find_release_recipient)
         return PlatformDialogs(self.context, self.reloader, self.release_notifier, self._answered_ids)
 
     def _make_attempts(self) -> AttemptHandler:
         return PlatformAttempts(self.context, self.dialogs, self.links)
 
     def _make_requests(self) -> PlatformRequests:
-        return PlatformRequests(self.context, self.dialogs, self.attempts, self.links, self._unknown_releases)
+        return PlatformRequests(
+            self.context,
+            self.dialogs,
+            self.attempts,
+            self.links,
+            self._unknown_releases,
+            self.release_notifier,
+        )
 
     def _make_listener(self) -> PlatformListener:
         return PlatformListener(
--- a/valverouter/platform_edge/reported_dialogs.py
+++ b/valverouter/platform_edge/reported_dialogs.py
@@ -18,6 +18,10 @@
         self._reporter_of: dict[str, Hashable] = {}
         self._by_reporter: dict[Hashable, dict[str, None]] = {}
 
+    def __contains__(self, dialog_id: str) -> bool:
+        """Whether this dialog was reported and has not ended."""
+        return dialog_id in self._reporter_of
+
     def __len__(self) -> int:
         """The number of reported dialogs."""
         return len(self._reporter_of)
