Deliver the release of a reported call that is over like any other release

What callers saw: a call that was reported (at) and is over stayed standing if the connection of the report closed before the report had its turn. The core server's stored release was used up by it.

Cause: on_established_reported sent these releases on the connection of the report, past the ReleaseNotifier. Evidence: the new test in test_platform_edge_reports failed before (1 failed, 13 passed) and passes now. Why it holds: all releases of calls that stood now go through ReleaseNotifier.notify; nothing else sends setup.Ended on the platform's front.

--- a/tests/test_platform_edge_reports.py
+++ b/tests/test_platform_edge_reports.py
@@ -162,6 +162,24 @@
         await harness.wait_until(lambda: harness.servers["s0"].received_ids("release") == [A], 1)
 
 
+async def test_the_release_of_a_reported_dialog_is_sent_again_if_its_connection_closed(
+    autojump_clock: MockClock,
+) -> None:
+    # Guards against releases sent at once on the connection of the report and forgotten: if that closed
+    # meanwhile, the dialog was left standing at its caller.
+    async with running_platform_edge() as harness:
+        server = harness.servers["s0"]
+        await server.send(server.streams[0], release_line(A, 16))
+        await trio.sleep(1)
+        reporting = await harness.client()
+        await reporting.send_setup(A, ESTABLISHED_AT_S0)
+        await reporting.stream.aclose()
+        await trio.sleep(0.5)
+        caller = await harness.client()
+        await caller.send_setup(B)
+        await harness.wait_until(lambda: caller.responses == [(isup.REL, A, 16), ANSWERED], 1)
+
+
 def test_a_death_ends_all_dialogs_though_the_wall_clock_was_set_back() -> None:
     dialogs = EstablishedDialogs(proxy_started_at=100)
     dialogs.on_server_started(200)
--- a/valverouter/platform_edge/dialogs.py
+++ b/valverouter/platform_edge/dialogs.py
@@ -130,11 +130,11 @@
         if was_interrupted is not None or not isinstance(link, PlatformLink) or link.has_ended:
             # The server released it while no edge proxy ran, or has interrupted it and is no longer listed.
             reason = "over" if was_interrupted is False else "cut"
-            event.caller.send(setup.Ended(request.dialog, 0, reason))
+            self._end_reported(event, reason, is_confirmed=was_interrupted is not None)
             return
         if link.has_died_since_our_start:
             link.release_reported(request.dialog)
-            event.caller.send(setup.Ended(request.dialog, 0, "cut"))
+            self._end_reported(event, "cut", is_confirmed=False)
             return
         link.add_reported((request.dialog, 0))
         # The session description is dropped: it would use memory for as long as the dialog is established.
@@ -143,3 +143,8 @@
             request, event.caller, deadline=0, attempt=0, link=link, attempts_started=1, is_established=True
         )
         self._dialogs.add_reported(entry)
+
+    def _end_reported(self, event: EstablishedReported, reason: str, is_confirmed: bool) -> None:
+        """Releases a reported dialog that is over; `is_confirmed`: whether its server has released it."""
+        ended = setup.Ended(event.dialog.setup.dialog, 0, reason)
+        self._release_notifier.notify(event.caller, ended, is_confirmed)
