Answer a report of a call that has ended here with its release

What callers saw: a caller that had not received the release of its call and reported the call (at) to the edge proxy that held it had its connection closed, with all set-ups open on it; the call stayed standing.

Cause: a report of one of the 2,048 ids answered last was taken for the repeated set-up of a faulty client; the release that had been sent counted as heard. Why it holds: only set-ups that want an answer are refused so; the reason of each end is kept beside its id, and a report of it goes through ReleaseNotifier like any other release.

--- a/tests/test_platform_edge_reports.py
+++ b/tests/test_platform_edge_reports.py
@@ -10,6 +10,7 @@
     WALL_MS,
     Client,
     PlatformHarness,
+    answer_line,
     host_row,
     release_line,
     running_platform_edge,
@@ -180,6 +181,44 @@
         await harness.wait_until(lambda: caller.responses == [(isup.REL, A, 16), ANSWERED], 1)
 
 
+@pytest.mark.parametrize("cause", [16, 41])
+async def test_a_report_of_a_dialog_that_has_ended_here_is_answered_with_its_release(
+    autojump_clock: MockClock, cause: int
+) -> None:
+    # Guards against callers that never got a release, reported the dialog, and had their connection closed
+    # for it, with all open set-ups on it.
+    async with running_platform_edge() as harness:
+        client, server = await harness.client(), harness.servers["s0"]
+        await client.send_setup(A)
+        await harness.wait_until(lambda: len(client.responses) == 1)
+        await server.send(server.streams[0], release_line(A, cause))
+        await trio.sleep(20)
+        server.answers_setups = False
+        caller = await harness.client()
+        await caller.send_setup(B)
+        await harness.wait_until(lambda: server.received_ids("setup") == [A, B])
+        await caller.send_setup(A, ESTABLISHED_AT_S0)
+        await harness.wait_until(lambda: caller.responses == [(isup.REL, A, cause)], 1)
+        await server.send(server.setup_streams[B], answer_line(B))
+        await harness.wait_until(lambda: caller.responses == [(isup.REL, A, cause), ANSWERED], 1)
+        assert server.received_ids("setup") == [A, B]
+
+
+async def test_a_report_of_a_dialog_that_its_caller_has_released_is_answered_with_its_release(
+    autojump_clock: MockClock,
+) -> None:
+    # The release and the report may come on two connections, in either order.
+    async with running_platform_edge() as harness:
+        client, other = await harness.client(), await harness.client()
+        await client.send_setup(A)
+        await harness.wait_until(lambda: len(client.responses) == 1)
+        await client.release(A)
+        await trio.sleep(0.1)
+        await other.send_setup(A, ESTABLISHED_AT_S0)
+        await harness.wait_until(lambda: other.responses == [(isup.REL, A, 16)], 1)
+        assert not harness.edge.dialogs.entries
+
+
 def test_a_death_ends_all_dialogs_though_the_wall_clock_was_set_back() -> None:
     dialogs = EstablishedDialogs(proxy_started_at=100)
     dialogs.on_server_started(200)
--- a/valverouter/platform_edge/callers.py
+++ b/valverouter/platform_edge/callers.py
@@ -32,6 +32,8 @@
 CALLER_READ_SIZE = 16 * 1024
 # Events of one kind are logged at most once per interval of this length, in seconds.
 LOG_INTERVAL_S = 10.0
+# The end of a dialog that no failure has cut.
+ENDED_NORMALLY = "over"
 
 
 class RateLimitedLog:
@@ -52,25 +54,30 @@
 
 
 class AnsweredIds:
-    """The last `capacity` ids of dialogs that were given their final answer or cancelled.
+    """The last `capacity` ids of dialogs that were given their final answer, cancelled or released.
 
     Every set-up has a new id, so a caller that repeats one of these is faulty. Without this check, each
-    repetition would start another dialog in the driver.
+    repetition would start another dialog in the driver. A report of one of them is not faulty: its caller may
+    not have received the release.
     """
 
     def __init__(self, capacity: int = 2_048) -> None:
         self._capacity = capacity
-        self._ids: dict[str, None] = {}
+        self._end_reasons: dict[str, str] = {}
 
-    def add(self, id_: str) -> None:
-        """Adds an id; removes the oldest if there are more than the capacity."""
-        self._ids[id_] = None
-        if len(self._ids) > self._capacity:
-            del self._ids[next(iter(self._ids))]
+    def add(self, id_: str, end_reason: str = ENDED_NORMALLY) -> None:
+        """Adds an id with the reason for the dialog's end; the oldest is removed above the capacity."""
+        self._end_reasons[id_] = end_reason
+        if len(self._end_reasons) > self._capacity:
+            del self._end_reasons[next(iter(self._end_reasons))]
 
     def __contains__(self, id_: str) -> bool:
-        """Whether the dialog of this id was recently answered or cancelled."""
-        return id_ in self._ids
+        """Whether the dialog of this id was recently answered, cancelled or released."""
+        return id_ in self._end_reasons
+
+    def end_reason(self, id_: str) -> str | None:
+        """Returns the reason for the end of a dialog; None if it is not one of these."""
+        return self._end_reasons.get(id_)
 
 
 class CallerEvidence(IntEnum):
@@ -323,16 +330,13 @@
             raise ProtocolError("out-of-state", f"message type {message.type} is not sent by callers")
 
     def _on_setup(self, message: isup.Message, received_at: int) -> None:
-        if message.id in self._answered_ids:
-            # Closes the connection instead of answering each repetition: a faulty caller may send hundreds at
-            # once.
-            self.refuse(ProtocolError("out-of-state", f"dialog {message.id} was already answered"))
-            return
         try:
             request = translation.parse_setup(message, self._deployment, self._widths)
         except ProtocolError as error:
-            self._rejection_log.warn(error.code, str(error))
-            self.write(isup.encode_release(message.id, translation.CAUSE_INVALID_REQUEST))
+            self._on_invalid_setup(message.id, error)
+            return
+        if isinstance(request, translation.PlatformSetup) and message.id in self._answered_ids:
+            self._refuse_repeated_setup(message.id)
             return
         self.add_evidence(CallerEvidence.REQUESTED)
         if isinstance(request, translation.PlatformSetup):
@@ -340,6 +344,17 @@
         else:
             self._events.put_request(self, EstablishedReported(self, request))
 
+    def _on_invalid_setup(self, dialog_id: str, error: ProtocolError) -> None:
+        if dialog_id in self._answered_ids:
+            self._refuse_repeated_setup(dialog_id)
+            return
+        self._rejection_log.warn(error.code, str(error))
+        self.write(isup.encode_release(dialog_id, translation.CAUSE_INVALID_REQUEST))
+
+    def _refuse_repeated_setup(self, dialog_id: str) -> None:
+        """Closes the connection instead of answering: a faulty caller may send hundreds of repetitions."""
+        self.refuse(ProtocolError("out-of-state", f"dialog {dialog_id} was already answered"))
+
 
 @dataclass(frozen=True, slots=True)
 class EstablishedReported:
--- a/valverouter/platform_edge/dialogs.py
+++ b/valverouter/platform_edge/dialogs.py
@@ -54,6 +54,11 @@
         self._notifier.notify(entry.caller, setup.Ended(entry.setup.dialog, 0, reason), is_confirmed)
         self._counters.answers[f"ended-{reason}"] += 1
         self.remove(entry)
+        self._answered_ids.add(entry.setup.dialog, reason)
+
+    def end_reason(self, dialog_id: str) -> str | None:
+        """Returns why a dialog has ended that ended recently; None for any other dialog."""
+        return self._answered_ids.end_reason(dialog_id)
 
     def remove(self, entry: DialogEntry) -> None:
         """Removes a dialog that needs no further message; its id must not be used again."""
@@ -125,6 +130,9 @@
         request, server = event.dialog.setup, event.dialog.server
         if request.dialog in self._entries:
             return
+        if (end_reason := self._dialogs.end_reason(request.dialog)) is not None:
+            self._end_reported(event, end_reason, is_confirmed=False)
+            return
         link = self._links.get(server)
         was_interrupted = self._unknown_releases.pop(request.dialog)
         if was_interrupted is not None or not isinstance(link, PlatformLink) or link.has_ended:
