Keep the link to a draining server up until its releases are sent

What callers saw: nothing; a core server that drains kept a released call, and its line, if its connections broke before it had read the release.

Cause: the link of a server out of service reconnects only while it has attempts or calls; releases that wait for the next connection were dropped with it. Evidence: the new test at a draining server failed before (1 failed, 1 passed). Why it holds: waiting releases keep the link up too, unless every connect is refused, which is the death of the process and of its calls (second test). The list's Gone still ends it.

--- a/tests/test_release_delivery.py
+++ b/tests/test_release_delivery.py
@@ -17,6 +17,7 @@
     Loopback,
     PlatformHarness,
     encode_setup,
+    host_row,
     release_line,
     running_platform_edge,
 )
@@ -273,6 +274,38 @@
         assert caller.responses == [(isup.ANM, B, -1)]
 
 
+async def test_a_release_that_a_draining_server_may_not_have_read_is_sent_again(
+    autojump_clock: MockClock,
+) -> None:
+    # Guards against links that ended with a release still to be sent: the server kept the dialog and its line.
+    async with running_platform_edge() as harness:
+        client, server = await harness.client(), harness.servers["s0"]
+        await client.send_setup(A)
+        await harness.wait_until(lambda: client.responses == [(isup.ANM, A, -1)], 1)
+        harness.bus.publish(host_row("s0", 0, "Terminating"))
+        await trio.sleep(0.5)
+        await client.release(A)
+        await harness.wait_until(lambda: server.received_ids("release") == [A], 1)
+        await server.reset()
+        await harness.wait_until(lambda: server.received_ids("release") == [A, A], 1)
+        assert server.received_ids("setup") == [A]
+
+
+async def test_the_link_to_a_draining_server_that_refuses_connections_ends_despite_a_waiting_release(
+    autojump_clock: MockClock,
+) -> None:
+    async with running_platform_edge() as harness:
+        client, server = await harness.client(), harness.servers["s0"]
+        await client.send_setup(A)
+        await harness.wait_until(lambda: client.responses == [(isup.ANM, A, -1)], 1)
+        harness.bus.publish(host_row("s0", 0, "Terminating"))
+        await trio.sleep(0.5)
+        await client.release(A)
+        server.scope.cancel()
+        await server.reset()
+        await harness.wait_until(lambda: "s0" not in harness.edge.links.by_server, 10)
+
+
 def unheard(id_: str, own: str, ended_at: int, is_confirmed: bool = True) -> UnheardRelease[str]:
     return UnheardRelease(setup.Ended(id_, 0, "over"), own, ended_at, is_confirmed)
 
--- a/valverouter/platform_edge/link.py
+++ b/valverouter/platform_edge/link.py
@@ -216,7 +216,7 @@
         self._scope.cancel()
 
     async def run(self) -> None:
-        """Keeps the connections up until the server is out of service and has no attempts or dialogs."""
+        """Keeps the connections up until the server is out of service and nothing is left to send to it."""
         with self._scope:
             async with trio.open_nursery() as nursery:
                 for _ in range(CONNECTIONS_PER_SERVER):
@@ -232,10 +232,20 @@
             LinkDown(self, self._close_reason or "no attempts left", frozenset(attempts) - unsent, unsent)
         )
 
+    @property
+    def _is_connection_needed(self) -> bool:
+        """Whether the server is in service, or has attempts, or has to be sent releases and may still run."""
+        return self.in_service or bool(self.attempts) or (bool(self._pending_releases) and not self._is_dead)
+
+    @property
+    def _is_dead(self) -> bool:
+        """Whether the server's process refuses every connection."""
+        return not self._connections and self._refused_connect_count >= 2 * CONNECTIONS_PER_SERVER
+
     async def _keep_connected(self) -> None:
-        """Runs one connection; reconnects while the server is in service or has attempts."""
+        """Runs one connection; reconnects while it is needed."""
         tries = 0
-        while self.in_service or self.attempts:
+        while self._is_connection_needed:
             started_at = trio.current_time()
             with isolate_failure("link", lambda: self.server):
                 await self._run_connection()
@@ -331,7 +341,7 @@
         """Ends the established dialogs as interrupted if the server is unreachable on every connection."""
         if self._connections:
             return
-        if self._refused_connect_count >= 2 * CONNECTIONS_PER_SERVER:
+        if self._is_dead:
             # Its process has died, and with it the dialogs that callers have not reported yet.
             interrupted = self._established.on_server_died(self._runtime.wall_time())
         elif trio.current_time() - self._last_received_at > platform.UNREACHABLE_TIMEOUT / 1e9:
