--- a/tests/test_release_delivery.py
+++ b/tests/test_release_delivery.py
@@ -277,7 +277,7 @@
 async def test_a_release_that_a_draining_server_may_not_have_read_is_sent_again(
     autojump_clock: MockClock,
 ) -> None:
-    # Guards against links that ended with a release still to be sent: the server kept the dialog and its line.
+    # Guards against links that ended with a release to be sent: the server kept the dialog and its line.
     async with running_platform_edge() as harness:
         client, server = await harness.client(), harness.servers["s0"]
         await client.send_setup(A)
