Answer a resumed dialog whose end was lost with its connection with that end

What callers saw, on our own protocol with a ledger: unknown for a call that stood, if its connection was lost as the edge proxy sent ended on it. A caller that gets unknown dials again, also after a regular end.

Cause: ResumableDialogs.end kept the reason only for callers already known as disconnected; a queued end counted as received. Why it holds: the reason of each end is kept for as long as a caller may resume, and resume of that dialog by its own caller is answered with it; the table is limited in age and number (test).

--- a/tests/test_resumable_proxy.py
+++ b/tests/test_resumable_proxy.py
@@ -27,6 +27,7 @@
 from valverouter.edge.recovery_log import RecoveryLog
 from valverouter.edge.resumable_attempts import ResumableAttempts
 from valverouter.edge.resumable_proxy import ResumableProxy
+from valverouter.edge.sent_ends import SentEnd, SentEnds
 from valverouter.emulator.fleet import Fleet
 from valverouter.emulator.simulate import simulate_scenario
 from valverouter.interface import AttemptPolicy, Outcome
@@ -373,6 +374,39 @@
         assert not rig.edge.dialogs.entries
 
 
+@pytest.mark.parametrize("reason", ["over", "cut"])
+async def test_end_of_a_dialog_that_crosses_its_callers_disconnection_is_reported_when_it_resumes(
+    reason: str, autojump_clock: MockClock
+) -> None:
+    # Guards against ends that counted as received once they were queued: the caller was answered Unknown, and
+    # dialled again.
+    async with resumable_rig() as rig:
+        caller, link, request = await established_dialog(rig)
+        await link.send(setup.Ended("d1", request.leg, reason))
+        while rig.edge.dialogs.entries:
+            await trio.sleep(0.001)
+        await caller.close()
+        for name, expected in (("c1", setup.Unknown), ("c0", setup.Established)):
+            back = await rig.caller(name)
+            await back.send(setup.Resume("d1"))
+            await back.next(expected)
+        assert (await back.next(setup.Ended)).reason == reason
+        await trio.sleep(6)
+        late = await rig.caller()
+        await late.send(setup.Resume("d1"))
+        await late.next(setup.Unknown)
+
+
+def test_sent_ends_are_limited_in_age_and_number() -> None:
+    ends = SentEnds(lifetime=10, capacity=3)
+    for at in range(0, 40, 4):
+        ends.add(f"d{at}", SentEnd("c", "s", "over", at))
+        assert len(ends) <= 3
+    assert ends.find("d36", "c", 46) == SentEnd("c", "s", "over", 36)
+    assert ends.find("d36", "c", 47) is None
+    assert ends.find("d24", "c", 34) is None
+
+
 @pytest.mark.parametrize(
     ("clock_shift", "boot_id", "is_deadline_known"),
     [(0, "memory", True), (-60 * SECOND, "memory", True), (-60 * SECOND, "other", False), (0, "other", True)],
--- a/valverouter/edge/recovery_state.py
+++ b/valverouter/edge/recovery_state.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from valverouter.edge.recovery_log import RecoveryLog
+from valverouter.edge.sent_ends import SentEnds
 from valverouter.recovery.pacing import QueryPacer
 from valverouter.recovery.plan import RecoveryAction
 
@@ -17,10 +18,11 @@
     for which an established dialog ended while its caller was disconnected. Entries of both are removed with
     the dialog. `attempt_offsets`: how many attempts of a dialog the previous incarnation numbered; a timer
     removes an entry some time after the dialog's deadline. `pacing`: the queries to servers that wait or are
-    unanswered.
+    unanswered. `sent_ends`: the ends that were sent to callers which may not have received them.
     """
 
     log: RecoveryLog
+    sent_ends: SentEnds
     pending: dict[str, RecoveryAction] = field(default_factory=dict)
     unreported_ends: dict[str, str] = field(default_factory=dict)
     attempt_offsets: dict[str, int] = field(default_factory=dict)
--- a/valverouter/edge/resumable_dialogs.py
+++ b/valverouter/edge/resumable_dialogs.py
@@ -7,6 +7,7 @@
 from valverouter.edge.dialogs import DialogEntry, DialogTable, FinalAnswer
 from valverouter.edge.recovery_state import RecoveryState
 from valverouter.edge.reload import ConfigReloader
+from valverouter.edge.sent_ends import SentEnd
 from valverouter.recovery.plan import RecoveryAction
 from valverouter.signalling import setup
 
@@ -36,13 +37,18 @@
     def end(self, entry: DialogEntry, reason: str) -> None:
         """Ends a dialog; if its caller is disconnected, stores the reason until it resumes the dialog.
 
-        A caller that was answered Unknown instead would dial again.
+        A caller that was answered Unknown instead would dial again. Its connection may also be lost before it
+        has received the end, so the reason is kept in any case.
         """
         dialog_id = entry.setup.dialog
         if isinstance(entry.caller, DetachedCaller) and reason != "released":
             self._state.unreported_ends[dialog_id], entry.attempt = reason, None
             self._state.pending[dialog_id] = RecoveryAction.RESEND_ANSWER_AND_END
             return
+        if entry.caller.can_resume:
+            server = entry.link.server if entry.link is not None else ""
+            end = SentEnd(entry.caller.name, server, reason, self._context.now)
+            self._state.sent_ends.add(dialog_id, end)
         super().end(entry, reason)
 
     def remove(self, entry: DialogEntry) -> None:
--- a/valverouter/edge/resumable_proxy.py
+++ b/valverouter/edge/resumable_proxy.py
@@ -20,6 +20,7 @@
 from valverouter.edge.resumable_dialogs import ResumableDialogs
 from valverouter.edge.resumable_requests import ResumableRequests
 from valverouter.edge.runtime import Runtime
+from valverouter.edge.sent_ends import SentEnds
 from valverouter.recovery.lifecycle import DialogRecord, Phase
 from valverouter.recovery.plan import PeerStatus, RecoveryAction, RecoveryPlan
 from valverouter.signalling import setup
@@ -46,7 +47,8 @@
 
     def __init__(self, config: EdgeConfig, runtime: Runtime, store: RecordStore) -> None:
         """Begins a new epoch of `store`."""
-        self.recovery = RecoveryState(RecoveryLog(store, runtime.timestamp))
+        sent_ends = SentEnds(config.ledger.resume_within, config.links.open_dialogs)
+        self.recovery = RecoveryState(RecoveryLog(store, runtime.timestamp), sent_ends)
         super().__init__(config, runtime, self.recovery.log.epoch)
         self._handlers[RecoveryTimer] = self._on_recovery_timer
 
--- a/valverouter/edge/resumable_requests.py
+++ b/valverouter/edge/resumable_requests.py
@@ -64,7 +64,7 @@
         """Handles a caller's Resume: sends what is owed to it, and continues the routing of the dialog."""
         entry = self._entries.get(dialog_id)
         if entry is None or entry.caller.name != caller.name:
-            caller.send(self._recorded_answer(caller, dialog_id))
+            self._resume_closed(caller, dialog_id)
             return
         self._attach(entry, caller)
         action = self._state.pending.get(dialog_id)
@@ -78,6 +78,15 @@
         if action is RecoveryAction.CONTINUE_ROUTING:
             self.continue_dialog(entry)
 
+    def _resume_closed(self, caller: CallerConnection, dialog_id: str) -> None:
+        """Sends the end or the final answer of a dialog again that its caller did not receive."""
+        end = self._state.sent_ends.find(dialog_id, caller.name, self._context.now)
+        if end is None:
+            caller.send(self._recorded_answer(caller, dialog_id))
+            return
+        caller.send(setup.Established(dialog_id, 0, end.server))
+        caller.send(setup.Ended(dialog_id, 0, end.reason))
+
     def _recorded_answer(
         self, caller: CallerConnection, dialog_id: str
     ) -> setup.Unknown | setup.Rejected | setup.Failed:
