Send nothing ahead of the rest of an earlier turn's bytes

Cause: SendQueue.flush kept the part of a turn's bytes that the stream had not taken, woke the writer, and before that had run sent the next turn's bytes first, and kept its rest in place of the first one.

--- a/valverouter/edge/send_queue.py
+++ b/valverouter/edge/send_queue.py
@@ -94,6 +94,8 @@
         self._is_in_batch = False
         if self._writer_wakeup is None or self._stream is None or not self._queued:
             return
+        if self._unsent:
+            return  # the writer was woken to send the rest of an earlier turn, and has not run yet
         data = b"".join([frame for frame, _ in self._queued.values()])
         taken = self._stream.send_now(data)
         if taken < len(data):
