Fail a set-up that its server ends before its answer instead of trying again

Cause: a release with cause 16 of a set-up without an answer counted as a reset. A core server ends a call so that stands: it has answered, and the answer is late or lost. Why it holds: the dialog gets its one final answer at once, with the release; no attempt follows, and the late answer finds no open set-up.

--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -195,6 +195,30 @@
         assert server.received_ids("release") == [A]
 
 
+async def test_a_set_up_that_its_server_ends_before_its_answer_fails_and_is_not_attempted_again(
+    autojump_clock: MockClock,
+) -> None:
+    # Guards against a second run of a dialog whose answer comes late: its release counted as a reset, and its
+    # caller was told of the second run only (review/1).
+    async with running_platform_edge() as harness:
+        client, (s0, s1) = await harness.client(), harness.servers.values()
+        s0.answers_setups = False
+        await client.send_setup(A)
+        await harness.wait_until(lambda: s0.received_ids("setup") == [A])
+        await trio.sleep(1.2)
+        await s0.send(s0.setup_streams[A], release_line(A, 16))
+        await harness.wait_until(lambda: client.responses == [CUT], 1)
+        await s0.send(s0.setup_streams[A], answer_line(A))
+        await trio.sleep(10)
+        assert client.responses == [CUT]
+        assert (s0.received_ids("setup"), s1.received_ids("setup")) == ([A], [])
+        assert not harness.edge.dialogs.entries
+        assert not any(link.attempts for link in harness.edge.links.by_server.values())
+        policy = harness.edge.context.driver.policy
+        assert not policy.table.servers["s0"].in_flight
+        assert not policy.table.servers["s0"].consecutive_failures
+
+
 @pytest.mark.parametrize(
     "malformed", [b"\xff\xfe\x00\n", b'{"type":"answer","id":"' + b"9" * 20_000, b"[1]\n", b""]
 )
--- a/valverouter/edge/attempts.py
+++ b/valverouter/edge/attempts.py
@@ -243,17 +243,32 @@
             self._on_stale_answer(link, message, load_report)
         elif isinstance(message, setup.Ended):
             del link.attempts[key]
-            result = AttemptResult(
-                *key, link.server, Outcome.ENDED, dialog_closed=True, load_report=load_report
-            )
-            self._context.run_isolated("", self._driver.on_attempt_result, result)
-            self._dialogs.end(entry, message.reason)
+            self._on_ended(entry, link, message, load_report)
         elif isinstance(message, setup.Established):
             self._end(entry, Outcome.ESTABLISHED, 0, load_report, message)
         else:
             retry_after = message.retry_after if isinstance(message, setup.Full) else 0
             self._end(entry, OUTCOMES[type(message)], retry_after, load_report)
 
+    def _on_ended(
+        self, entry: DialogEntry, link: ServerLink, message: setup.Ended, load_report: LoadReport | None
+    ) -> None:
+        """Ends an established dialog; one whose answer has not arrived fails.
+
+        Its server established and ended it, and only the answer is late or lost. Another attempt would run
+        the dialog a second time. The outcome says nothing of the server's latency.
+        """
+        outcome = Outcome.ENDED if entry.is_established else Outcome.CANCELLED
+        result = AttemptResult(
+            message.dialog, message.leg, link.server, outcome, dialog_closed=True, load_report=load_report
+        )
+        self._context.run_isolated("", self._driver.on_attempt_result, result)
+        if entry.is_established:
+            self._dialogs.end(entry, message.reason)
+        else:
+            failed = setup.Failed(message.dialog, entry.setup.leg, "ended-unanswered")
+            self._dialogs.answer(entry, failed)
+
     def _on_stale_answer(
         self, link: ServerLink, message: setup.LegMessage, load_report: LoadReport | None
     ) -> None:
--- a/valverouter/platform_edge/translation.py
+++ b/valverouter/platform_edge/translation.py
@@ -158,7 +158,12 @@
 
 
 def parse_rejection(line: lines.Line, leg: int) -> setup.LegMessage | None:
-    """Converts a server's release of an unanswered set-up; None if the attempt counts as a reset."""
+    """Converts a server's release of an unanswered set-up; None if the attempt counts as a reset.
+
+    A server that releases a set-up as ended has answered it: the answer is late or lost.
+    """
+    if line.cause == CAUSE_ENDED:
+        return setup.Ended(line.id, leg, "over", parse_load(line))
     note = line.fields.get("note")
     if line.cause == CAUSE_NO_CIRCUIT:
         report = parse_load(line)
