Keep as many releases of unreported calls as calls may be open

Cause: releases of calls that nobody has reported yet were limited to 1,000 for all core servers, and the oldest dropped without a word; the report of such a call was then taken for one that stands.

--- a/tests/test_platform_edge_reports.py
+++ b/tests/test_platform_edge_reports.py
@@ -16,6 +16,7 @@
     running_platform_edge,
 )
 from valverouter.platform_edge.established_dialogs import EstablishedDialogs
+from valverouter.platform_edge.unknown_releases import UNKNOWN_RELEASE_LIFETIME_S, UnknownReleases
 from valverouter.platform_protocol import isup
 
 A, B = "a" * 16, "b" * 16
@@ -204,6 +205,32 @@
         assert server.received_ids("setup") == [A, B]
 
 
+async def test_as_many_releases_are_stored_until_the_report_as_dialogs_may_have_been_open(
+    autojump_clock: MockClock,
+) -> None:
+    # Guards against a limit of 1,000: after a kill at 190 calls a second, the calls whose releases it dropped
+    # were taken for established when their callers reported them (review/8).
+    ids = [f"{number:016x}" for number in range(1, 1_601)]
+    async with running_platform_edge() as harness:
+        client, server = await harness.client(), harness.servers["s0"]
+        await server.send(server.streams[0], *(release_line(id_, 16) for id_ in ids))
+        await trio.sleep(1)
+        for id_ in ids:
+            await client.send_setup(id_, ESTABLISHED_AT_S0)
+        await harness.wait_until(lambda: len(client.responses) == len(ids), 2)
+        assert sorted(client.responses) == [(isup.REL, id_, 16) for id_ in ids]
+
+
+async def test_dropped_unknown_releases_are_counted(autojump_clock: MockClock) -> None:
+    releases = UnknownReleases(capacity=3)
+    for number in range(5):
+        releases.add(f"{number:016x}", False)
+    assert (len(releases), releases.dropped_count) == (3, 2)
+    await trio.sleep(UNKNOWN_RELEASE_LIFETIME_S)
+    releases.add(A, True)
+    assert (len(releases), releases.dropped_count, releases.pop(A)) == (1, 2, True)
+
+
 async def test_a_report_of_a_dialog_that_its_caller_has_released_is_answered_with_its_release(
     autojump_clock: MockClock,
 ) -> None:
--- a/valverouter/platform_edge/proxy.py
+++ b/valverouter/platform_edge/proxy.py
@@ -36,7 +36,7 @@
         """`platform`: the complete, validated configuration."""
         self.connected = ConnectedCallers()
         self._platform = platform
-        self._unknown_releases = UnknownReleases()
+        self._unknown_releases = UnknownReleases(platform.config.links.open_dialogs)
         self._answered_ids = AnsweredIds()
         super().__init__(platform.config, runtime)
         self._handlers[EstablishedReported] = self.requests.on_established_reported
