Part the ranking of callers' connections, the answered ids and the log from callers.py

CallerEvidence and ConnectedCallers, AnsweredIds and RateLimitedLog are modules of their own; what all callers' connections of a proxy share is one typed value in place of eleven parameters.

--- a/valverouter/platform_edge/dialogs.py
+++ b/valverouter/platform_edge/dialogs.py
@@ -13,7 +13,9 @@
 from valverouter.edge.events import CallerDisconnected
 from valverouter.edge.reload import ConfigReloader
 from valverouter.edge.server_links import ServerLinks
-from valverouter.platform_edge.callers import AnsweredIds, CallerEvidence, EstablishedReported, PlatformCaller
+from valverouter.platform_edge.answered_ids import AnsweredIds
+from valverouter.platform_edge.callers import EstablishedReported, PlatformCaller
+from valverouter.platform_edge.connected_callers import CallerEvidence
 from valverouter.platform_edge.link import PlatformLink
 from valverouter.platform_edge.release_notifier import ReleaseNotifier
 from valverouter.platform_edge.reported_dialogs import ReportedDialogs
--- a/valverouter/platform_edge/proxy.py
+++ b/valverouter/platform_edge/proxy.py
@@ -14,10 +14,13 @@
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.runtime import Runtime
 from valverouter.edge.server_links import ServerLinks
+from valverouter.platform_edge.answered_ids import AnsweredIds
 from valverouter.platform_edge.bus_client import BusClient
 from valverouter.platform_edge.caller_listener import PlatformListener
-from valverouter.platform_edge.callers import AnsweredIds, ConnectedCallers, EstablishedReported
+from valverouter.platform_edge.callers import EstablishedReported, PlatformCaller, SharedCallerState
+from valverouter.platform_edge.connected_callers import ConnectedCallers
 from valverouter.platform_edge.dialogs import PlatformAttempts, PlatformDialogs, PlatformRequests
+from valverouter.platform_edge.rejection_log import RateLimitedLog
 from valverouter.platform_edge.release_notifier import ReleaseNotifier
 from valverouter.platform_edge.server_links import PlatformLinks
 from valverouter.platform_edge.unknown_releases import UnknownReleases
@@ -34,7 +37,7 @@
 
     def __init__(self, platform: PlatformConfig, runtime: Runtime) -> None:
         """`platform`: the complete, validated configuration."""
-        self.connected = ConnectedCallers()
+        self.connected: ConnectedCallers[PlatformCaller] = ConnectedCallers()
         self._platform = platform
         self._unknown_releases = UnknownReleases(platform.config.links.open_dialogs)
         self._answered_ids = AnsweredIds()
@@ -83,15 +86,21 @@
         )
 
     def _make_listener(self) -> PlatformListener:
-        return PlatformListener(
-            self.context,
-            self.links,
-            self.incarnation,
-            self._platform.widths,
-            self.connected,
-            self.release_notifier,
-            self._answered_ids,
+        context = self.context
+        shared = SharedCallerState(
+            config=context.config.links,
+            events=context.events,
+            batch=context.send_batch,
+            clock=context.clock,
+            deployment=context.config.deployment,
+            widths=self._platform.widths,
+            is_accepting=lambda: not context.shutdown.is_draining,
+            connected=self.connected,
+            answered_ids=self._answered_ids,
+            rejection_log=RateLimitedLog(),
+            release_notifier=self.release_notifier,
         )
+        return PlatformListener(context, self.links, self.incarnation, shared)
 
     # Hooks
 
