Take a connection out of use whatever ended it, and name nesting a protocol error

Cause: RecursionError and OverflowError passed by the errors that _run_connection names, and only those took a connection out of use. Why it holds: any exception takes the connection out of use and resets its set-ups; besides, the decoders of peers' messages and of the configuration turn nesting into their own error, and load values over 10^12 are omitted.

--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -28,6 +28,7 @@
 )
 from valverouter.config.options import MalformedInputError
 from valverouter.config.platform import platform_config
+from valverouter.platform_edge.link import CONNECTIONS_PER_SERVER, PlatformLink
 from valverouter.platform_protocol import isup
 from valverouter.scenarios.memory_network import MemoryNetwork
 
@@ -263,6 +264,26 @@
         assert s0.received_ids("release") == [A]
 
 
+async def test_an_exception_in_handling_a_servers_message_closes_its_connection_like_a_protocol_error(
+    autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against connections that ended by an exception and stayed in use: set-ups and releases sent on
+    # them were lost.
+    async with running_platform_edge() as harness:
+        client, server = await harness.client(), harness.servers["s0"]
+        server.answers_setups = False
+        await client.send_setup(A)
+        await harness.wait_until(lambda: server.received_ids("setup") == [A])
+        link = harness.edge.links.by_server["s0"]
+        with monkeypatch.context() as patch:
+            patch.setattr(link, "_on_message", lambda connection, message: 1 / 0)
+            await server.send(server.setup_streams[A], {"type": "news", "id": B})
+            await trio.sleep(0.01)
+        await harness.wait_until(lambda: client.responses == [ANSWERED], 2)
+        assert isinstance(link, PlatformLink)
+        assert len(link._connections) == CONNECTIONS_PER_SERVER == len(server.streams)
+
+
 async def test_duplicate_and_unrelated_lines_are_ignored(autojump_clock: MockClock) -> None:
     async with running_platform_edge() as harness:
         client, server = await harness.client(), harness.servers["s0"]
@@ -445,6 +466,12 @@
         platform_config(json.dumps(config).encode())
 
 
+def test_a_deeply_nested_configuration_is_rejected() -> None:
+    nested = json.dumps(configuration([])).encode()[:-1] + b',"new":' + b"[" * 5_000 + b"]" * 5_000 + b"}"
+    with pytest.raises(MalformedInputError):
+        platform_config(nested)
+
+
 @pytest.mark.parametrize("module", ["valverouter.platform_edge", "valverouter.relayedge"])
 def test_the_process_on_loopback(tmp_path: Path, module: str) -> None:
     with socket.socket() as free:
--- a/tests/test_platform_protocol.py
+++ b/tests/test_platform_protocol.py
@@ -13,7 +13,7 @@
 from valverouter.interface import Deployment
 from valverouter.platform_edge import translation
 from valverouter.platform_protocol import isup, lines
-from valverouter.platform_protocol.bus import Batch, BusSession
+from valverouter.platform_protocol.bus import Batch, BusSession, decode_batch
 from valverouter.signalling import setup
 from valverouter.signalling.framing import ProtocolError
 
@@ -117,6 +117,23 @@
     assert (load.free_lines, load.lines, load.queue_length) == expected
 
 
+@pytest.mark.parametrize("depth", [2, 2_500, 8_000])
+def test_nested_input_is_ignored_or_a_protocol_error(depth: int) -> None:
+    # Guards against a RecursionError, which left a dead connection in the link's list.
+    nested = b"[" * depth + b"]" * depth
+    for decode in (lambda data: list(lines.LineReader().feed(data + b"\n")), decode_batch):
+        with suppress(ProtocolError):
+            assert decode(b'{"type":"state","offset":1,"new":' + nested + b"}")
+
+
+@given(st.floats(), st.sampled_from(["x0", "x1", "latency_ms", "queue", "util"]))
+def test_any_number_in_a_load_report_is_read_or_omitted(value: float, name: str) -> None:
+    # Guards against an OverflowError at `latency_ms:1e305`.
+    load = translation.parse_load(lines.Line("state", fields={"load": f"{name}:{value!r}"}))
+    assert load is not None
+    assert load.queue_delay is None or 0 <= load.queue_delay <= lines.MAX_LOAD_VALUE * translation.NS_PER_MS
+
+
 @pytest.mark.parametrize(
     ("cause", "note", "expected_type"),
     [
--- a/tests/test_signalling.py
+++ b/tests/test_signalling.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from valverouter.signalling import setup
-from valverouter.signalling.framing import FrameReader, ProtocolError, encode_frame
+from valverouter.signalling.framing import HEADER_SIZE, FrameReader, ProtocolError, encode_frame
 from valverouter.signalling.greeting import Error, Hello, NotUnderstood, Welcome
 from valverouter.signalling.serverlist import (
     HISTORY_LENGTH,
@@ -396,3 +396,11 @@
     list(session.receive(encode_frame(HELLO)))
     with pytest.raises(ProtocolError):
         list(session.receive(encode_frame(Change("e", 1, []))))
+
+
+def test_deeply_nested_input_is_a_protocol_error() -> None:
+    # Guards against a RecursionError, which no reader of a connection expects.
+    names = b"".join(msgspec.msgpack.encode(text) for text in ("t", "setup", "new"))
+    body = b"\x82" + names + b"\x91" * 3_000 + b"\x90"
+    with pytest.raises(ProtocolError):
+        list(SetupSession().receive(len(body).to_bytes(HEADER_SIZE, "big") + body))
--- a/valverouter/config/platform.py
+++ b/valverouter/config/platform.py
@@ -82,7 +82,7 @@
     """Parses the file; raises MalformedInputError, which names a missing or invalid field."""
     try:
         file = msgspec.json.decode(data, type=PlatformFile)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise MalformedInputError(str(error)) from None
     try:
         seed = int(file.seed, 16)
--- a/valverouter/platform_edge/link.py
+++ b/valverouter/platform_edge/link.py
@@ -268,6 +268,17 @@
         self._connecting -= 1
         self._refused_connect_count = 0
         connection = ServerConnection(SendQueue(self._config.waiting_bytes, self._batch))
+        try:
+            reason = await self._serve_connection(connection, stream)
+        except Exception:
+            # Whatever ended it, a connection that is over must not stay in use.
+            self._on_connection_lost(connection, "failed")
+            raise
+        self._on_connection_lost(connection, connection.close_reason or reason)
+        return reason
+
+    async def _serve_connection(self, connection: ServerConnection, stream: trio.abc.Stream) -> str:
+        """Runs a connection until it ends; returns the reason."""
         reason = "closed"
         with connection.scope:
             async with stream, trio.open_nursery() as nursery:
@@ -281,7 +292,6 @@
                 except (trio.BrokenResourceError, trio.ClosedResourceError):
                     reason = "reset"
                 nursery.cancel_scope.cancel()
-        self._on_connection_lost(connection, connection.close_reason or reason)
         return reason
 
     def _on_connected(self, connection: ServerConnection) -> None:
--- a/valverouter/platform_protocol/bus.py
+++ b/valverouter/platform_protocol/bus.py
@@ -52,7 +52,7 @@
     """Decodes events from a configuration or a response; raises ProtocolError if they are malformed."""
     try:
         return _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise ProtocolError("malformed", str(error)) from None
 
 
--- a/valverouter/platform_protocol/lines.py
+++ b/valverouter/platform_protocol/lines.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterator
 
 import msgspec
@@ -10,6 +9,8 @@
 from valverouter.signalling.framing import ProtocolError
 
 MAX_LINE_SIZE = 16 * 1024
+# Larger values of a load report are invalid: as a time in nanoseconds they would not be finite.
+MAX_LOAD_VALUE = 10**12
 
 
 class Line(msgspec.Struct, omit_defaults=True):
@@ -50,7 +51,7 @@
                 raise ProtocolError("too-large", f"line of {len(line)} bytes exceeds the size limit")
             try:
                 yield _decoder.decode(line)
-            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
                 raise ProtocolError("malformed", str(error)) from None
         if len(self._buffer) >= MAX_LINE_SIZE:
             raise ProtocolError("too-large", "incomplete line exceeds the size limit")
@@ -73,7 +74,7 @@
 
 
 def parse_load(text: str) -> dict[str, float]:
-    """Parses text such as `x0:12;queue:3`; omits values that are not finite non-negative numbers."""
+    """Parses text such as `x0:12;queue:3`; omits values that are not numbers from 0 to MAX_LOAD_VALUE."""
     values: dict[str, float] = {}
     for pair in text.split(";"):
         name, _, value = pair.partition(":")
@@ -81,6 +82,6 @@
             number = float(value)
         except ValueError:
             continue
-        if math.isfinite(number) and number >= 0:
+        if 0 <= number <= MAX_LOAD_VALUE:
             values[name] = number
     return values
--- a/valverouter/signalling/greeting.py
+++ b/valverouter/signalling/greeting.py
@@ -133,7 +133,7 @@
     def _decode(self, body: bytes) -> Any:
         try:
             message = self._decoder.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             kind = self._tag_of(body)
             if kind is None or kind in self._known_tags:
                 raise ProtocolError("malformed", f"{kind or 'no message'}: {error}") from None
@@ -154,7 +154,7 @@
     def _tag_of(self, body: bytes) -> str | None:
         try:
             return _tag_decoder.decode(body).tag
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
             return None
 
     def _on_greeting(self, message: Hello | Welcome) -> None:
