Make another link for a server that is gone and back in one batch of events

Cause: put_in_service kept the link that Gone had just closed, since its task had not ended yet; a closing link of the platform does not connect again. Evidence: the new test failed before. Why it holds: a link tells whether it can return to service, and a closing one of the platform is replaced, in whatever order its task and the next event come.

--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -21,6 +21,7 @@
     DESCRIPTION,
     WALL_MS,
     answer_line,
+    bus_event,
     configuration,
     host_row,
     release_line,
@@ -169,6 +170,24 @@
         assert bool(s0.streams) is (health != "Gone")
 
 
+async def test_a_server_that_is_gone_and_back_in_one_batch_of_events_is_used(
+    autojump_clock: MockClock,
+) -> None:
+    # Guards against a link that was put in service again while it was closing: it ended, and its server got
+    # no set-up until the next event about it.
+    async with running_platform_edge("s0") as harness:
+        client, server = await harness.client(), harness.servers["s0"]
+        await client.send_setup(A)
+        await harness.wait_until(lambda: client.responses == [ANSWERED])
+        batch = [bus_event(2, [host_row("s0", 0, "Gone")]), bus_event(3, [host_row("s0", 0)])]
+        harness.edge.source.apply_events(json.dumps({"offset": 3, "batch": batch}).encode())
+        await harness.wait_until(lambda: client.responses == [ANSWERED, CUT], 1)
+        await trio.sleep(20)
+        await client.send_setup(B)
+        await harness.wait_until(lambda: (isup.ANM, B, -1) in client.responses, 1)
+        assert server.received_ids("setup") == [A, B]
+
+
 async def test_a_cancelled_set_up_gets_no_answer(autojump_clock: MockClock) -> None:
     async with running_platform_edge() as harness:
         client, server = await harness.client(), harness.servers["s0"]
--- a/valverouter/edge/link.py
+++ b/valverouter/edge/link.py
@@ -99,6 +99,11 @@
         """Whether the link does not reconnect after a LinkDown."""
         return self.has_ended or not self.in_service
 
+    @property
+    def can_return_to_service(self) -> bool:
+        """Whether the link makes another connection if its server is put in service again now."""
+        return not self.has_ended
+
     def has_closed(self, key: tuple[str, int]) -> bool:
         """Whether an attempt's closing message was read but is not yet handled.
 
--- a/valverouter/edge/server_links.py
+++ b/valverouter/edge/server_links.py
@@ -79,7 +79,7 @@
     def put_in_service(self, server: str, address: str) -> None:
         """Keeps or makes the link to a server in service at this address."""
         link = self.by_server.get(server)
-        if link is not None and link.address == address and not link.has_ended:
+        if link is not None and link.address == address and link.can_return_to_service:
             link.in_service = True
             self.removed.discard(link)
             return
--- a/valverouter/platform_edge/link.py
+++ b/valverouter/platform_edge/link.py
@@ -69,6 +69,11 @@
         """Whether the link does not reconnect after a LinkDown."""
         return self.has_ended
 
+    @property
+    def can_return_to_service(self) -> bool:
+        """Whether the link is not closing: the connections of one that is are not made again."""
+        return not self.has_ended and not self._close_reason
+
     @property
     def is_writable(self) -> bool:
         """Whether a connection is up or being made and the link is not closing."""
