Keep calls established that are reported at a draining core server

Cause: a reported call at a core server without a link counts as cut, and a process that starts during a drain makes no link to the draining one. Evidence: two of four new tests failed before. Why it holds: the first report there makes a link out of service, so no set-up can go to it, and the link ends with its last call; Gone, refused connects and silence end the calls as at every core server.

--- a/tests/test_platform_edge_reports.py
+++ b/tests/test_platform_edge_reports.py
@@ -128,6 +128,61 @@
         await harness.wait_until(lambda: client.responses == [ANSWERED, (isup.REL, A, 16)], 1)
 
 
+async def draining_server_at_start(harness: PlatformHarness) -> Client:
+    """Lets s0 drain, as if it had been listed so at our start, with no link to it; A is reported there."""
+    harness.bus.publish(host_row("s0", 0, "Gone"))
+    await harness.wait_until(lambda: "s0" not in harness.edge.links.by_server, 1)
+    harness.bus.publish(host_row("s0", 0, "Terminating"))
+    await trio.sleep(0.5)
+    client = await harness.client()
+    await client.send_setup(A, ESTABLISHED_AT_S0)
+    await trio.sleep(0.5)
+    return client
+
+
+async def test_a_dialog_reported_at_a_draining_server_stays_established_until_its_release(
+    autojump_clock: MockClock,
+) -> None:
+    # Guards against callers that were told after a restart that calls at a draining server were cut, while
+    # they stood there.
+    async with running_platform_edge() as harness:
+        client, server = await draining_server_at_start(harness), harness.servers["s0"]
+        await client.send_setup(B)
+        await trio.sleep(5)
+        assert client.responses == [ANSWERED]
+        assert server.received_ids("setup") == []
+        await server.send(server.streams[0], release_line(A, 16))
+        await harness.wait_until(lambda: client.responses == [ANSWERED, (isup.REL, A, 16)], 1)
+
+
+async def test_a_caller_can_release_a_dialog_reported_at_a_draining_server(autojump_clock: MockClock) -> None:
+    async with running_platform_edge() as harness:
+        client, server = await draining_server_at_start(harness), harness.servers["s0"]
+        await client.release(A)
+        await harness.wait_until(lambda: server.received_ids("release") == [A], 1)
+        await server.reset()
+        await harness.wait_until(lambda: server.received_ids("release") == [A, A], 1)
+
+
+@pytest.mark.parametrize("next_phase", ["Gone", "refuses"])
+async def test_a_dialog_reported_at_a_draining_server_is_cut_when_that_is_gone(
+    autojump_clock: MockClock, next_phase: str
+) -> None:
+    async with running_platform_edge() as harness:
+        client, server = await draining_server_at_start(harness), harness.servers["s0"]
+        if next_phase == "Gone":
+            harness.bus.publish(host_row("s0", 0, "Gone"))
+        else:
+            server.scope.cancel()
+            await server.reset()
+        await harness.wait_until(lambda: client.responses == [CUT], UNSENT_RELEASE_LIMIT_S)
+        await trio.sleep(5)
+        assert "s0" not in harness.edge.links.by_server
+        other = await harness.client()
+        await other.send_setup(B, ESTABLISHED_AT_S0)
+        await harness.wait_until(lambda: other.responses == [(isup.REL, B, 41)], UNSENT_RELEASE_LIMIT_S)
+
+
 async def test_a_caller_that_only_reports_a_dialog_keeps_its_connection(autojump_clock: MockClock) -> None:
     # Guards against callers that were closed as silent 2 s after a report, and so did not get its release.
     async with running_platform_edge() as harness:
--- a/valverouter/platform_edge/dialogs.py
+++ b/valverouter/platform_edge/dialogs.py
@@ -12,13 +12,12 @@
 from valverouter.edge.dialogs import DialogEntry, DialogTable, FinalAnswer
 from valverouter.edge.events import CallerDisconnected
 from valverouter.edge.reload import ConfigReloader
-from valverouter.edge.server_links import ServerLinks
 from valverouter.platform_edge.answered_ids import AnsweredIds
 from valverouter.platform_edge.callers import EstablishedReported, PlatformCaller
 from valverouter.platform_edge.connected_callers import CallerEvidence
-from valverouter.platform_edge.link import PlatformLink
 from valverouter.platform_edge.release_notifier import ReleaseNotifier
 from valverouter.platform_edge.reported_dialogs import ReportedDialogs
+from valverouter.platform_edge.server_links import PlatformLinks
 from valverouter.platform_edge.unknown_releases import UnknownReleases
 from valverouter.signalling import setup
 
@@ -108,13 +107,13 @@
         context: ProxyContext,
         dialogs: PlatformDialogs,
         attempts: AttemptHandler,
-        links: ServerLinks,
+        links: PlatformLinks,
         unknown_releases: UnknownReleases,
         release_notifier: ReleaseNotifier,
     ) -> None:
         """`unknown_releases`: releases received for dialogs that are not reported yet."""
         super().__init__(context, dialogs, attempts)
-        self._links = links.by_server
+        self._links = links
         self._release_notifier = release_notifier
         self._unknown_releases = unknown_releases
 
@@ -149,9 +148,9 @@
         if (end_reason := self._dialogs.end_reason(request.dialog)) is not None:
             self._end_reported(event, end_reason, is_confirmed=False)
             return
-        link = self._links.get(server)
         was_interrupted = self._unknown_releases.pop(request.dialog)
-        if was_interrupted is not None or not isinstance(link, PlatformLink) or link.has_ended:
+        link = self._links.link_for_reported(server) if was_interrupted is None else None
+        if link is None:
             # The server released it while no edge proxy ran, or has interrupted it and is no longer listed.
             reason = "over" if was_interrupted is False else "cut"
             self._end_reported(event, reason, is_confirmed=was_interrupted is not None)
--- a/valverouter/platform_edge/proxy.py
+++ b/valverouter/platform_edge/proxy.py
@@ -13,7 +13,6 @@
 from valverouter.edge.events import EndpointUpdate
 from valverouter.edge.proxy import EdgeProxy
 from valverouter.edge.runtime import Runtime
-from valverouter.edge.server_links import ServerLinks
 from valverouter.platform_edge.answered_ids import AnsweredIds
 from valverouter.platform_edge.bus_client import BusClient
 from valverouter.platform_edge.caller_listener import PlatformListener
@@ -31,6 +30,7 @@
 
     closing_period = CLOSING_PERIOD
     source: BusClient
+    links: PlatformLinks
     dialogs: PlatformDialogs
     requests: PlatformRequests
     listener: PlatformListener
@@ -65,7 +65,7 @@
         context = self.context
         return BusClient(context.config.list_service, self._platform.known, context.runtime, context.events)
 
-    def _make_links(self) -> ServerLinks:
+    def _make_links(self) -> PlatformLinks:
         return PlatformLinks(self.context, self.source, self._unknown_releases)
 
     def _make_dialogs(self) -> PlatformDialogs:
