Count the ends of reports over the limit as not confirmed by any server

Read again: ReportedDialogs.add has already removed the report that it gives way for, so its end counted as that of an established call, and was repeated on every new caller's connection where callers acknowledge. The new test failed before; test_release_delivery and test_request_flood: 45 passed.

--- a/tests/test_release_delivery.py
+++ b/tests/test_release_delivery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -13,6 +14,7 @@
 from trio.testing import MockClock
 
 from tests.platform_harness import (
+    SETTINGS,
     Client,
     Loopback,
     PlatformHarness,
@@ -259,6 +261,25 @@
         await harness.wait_until(lambda: RELEASED in caller.responses, 1)
 
 
+async def test_the_ends_of_reports_over_the_limit_are_not_repeated_on_other_callers_connections(
+    autojump_clock: MockClock,
+) -> None:
+    # No server has confirmed them: a faulty client could fill all callers' connections with them.
+    settings = copy.deepcopy(SETTINGS)
+    settings["limits"]["openCap"] = 6
+    async with running_platform_edge(settings=settings) as harness:
+        await acknowledging_caller(harness)
+        faulty = await harness.client()
+        for number in range(1, 8):
+            await faulty.send_setup(f"{number:016x}", "dest:0;width:1;at:s0")
+        await harness.wait_until(lambda: len(faulty.responses) == 4, 1)
+        await trio.sleep(2)
+        caller = await harness.client()
+        await caller.send_setup(B)
+        await trio.sleep(3)
+        assert caller.responses == [(isup.ANM, B, -1)]
+
+
 async def test_a_caller_that_releases_a_dialog_itself_is_not_sent_its_release_again(
     autojump_clock: MockClock,
 ) -> None:
--- a/valverouter/platform_edge/dialogs.py
+++ b/valverouter/platform_edge/dialogs.py
@@ -47,7 +47,7 @@
             self._counters.answers["reported-over-limit"] += 1
             evicted = self.entries[evicted_id]
             self.release(evicted)
-            self.end(evicted, "cut")
+            self._end(evicted, "cut", is_confirmed=False)
 
     def _answer_late(self, entry: DialogEntry, message: FinalAnswer) -> str:
         """Sends a final answer after the caller's deadline for as long as the platform counts it as answered.
@@ -66,6 +66,9 @@
         """Ends an established dialog and notifies its caller on any connection."""
         # Nothing confirms a report but the server's own release.
         is_confirmed = reason == "over" or entry.setup.dialog not in self._reported
+        self._end(entry, reason, is_confirmed)
+
+    def _end(self, entry: DialogEntry, reason: str, is_confirmed: bool) -> None:
         self._notifier.notify(entry.caller, setup.Ended(entry.setup.dialog, 0, reason), is_confirmed)
         self._counters.answers[f"ended-{reason}"] += 1
         self.remove(entry)
