--- a/tests/test_release_delivery.py
+++ b/tests/test_release_delivery.py
@@ -44,11 +44,17 @@
 }
 
 
+async def caller_with_dialog(harness: PlatformHarness, id_: str) -> Client:
+    """Connects a caller with an established dialog."""
+    client = await harness.client()
+    await client.send_setup(id_)
+    await harness.wait_until(lambda: client.responses == [(isup.ANM, id_, -1)], 1)
+    return client
+
+
 async def established_without_caller(harness: PlatformHarness) -> None:
     """Establishes A at s0; its caller then closes its connection."""
-    client = await harness.client()
-    await client.send_setup(A)
-    await harness.wait_until(lambda: client.responses == [(isup.ANM, A, -1)])
+    client = await caller_with_dialog(harness, A)
     await client.stream.aclose()
     await trio.sleep(0.1)
 
@@ -76,9 +82,7 @@
 
 async def acknowledging_caller(harness: PlatformHarness) -> Client:
     """Connects a caller that has acknowledged the release of a dialog."""
-    client = await harness.client()
-    await client.send_setup(C)
-    await harness.wait_until(lambda: client.responses == [(isup.ANM, C, -1)], 1)
+    client = await caller_with_dialog(harness, C)
     await end_at_server(harness, C)
     await acknowledge(client, C)
     return client
@@ -130,9 +134,7 @@
 ) -> None:
     # A faulty client sends valid set-ups, too. It never has a dialog.
     async with running_platform_edge() as harness:
-        caller = await harness.client()
-        await caller.send_setup(B)
-        await harness.wait_until(lambda: caller.responses == [(isup.ANM, B, -1)])
+        caller = await caller_with_dialog(harness, B)
         await established_without_caller(harness)
         for server in harness.servers.values():
             server.answers_setups = False
@@ -202,9 +204,7 @@
 
 async def test_an_acknowledged_release_is_not_sent_again(autojump_clock: MockClock) -> None:
     async with running_platform_edge() as harness:
-        client = await harness.client()
-        await client.send_setup(A)
-        await harness.wait_until(lambda: client.responses == [(isup.ANM, A, -1)], 1)
+        client = await caller_with_dialog(harness, A)
         await end_at_server(harness)
         await acknowledge(client, A)
         await client.stream.aclose()
@@ -300,9 +300,7 @@
 ) -> None:
     # Guards against links that ended with a release to be sent: the server kept the dialog and its line.
     async with running_platform_edge() as harness:
-        client, server = await harness.client(), harness.servers["s0"]
-        await client.send_setup(A)
-        await harness.wait_until(lambda: client.responses == [(isup.ANM, A, -1)], 1)
+        client, server = await caller_with_dialog(harness, A), harness.servers["s0"]
         harness.bus.publish(host_row("s0", 0, "Terminating"))
         await trio.sleep(0.5)
         await client.release(A)
@@ -316,9 +314,7 @@
     autojump_clock: MockClock,
 ) -> None:
     async with running_platform_edge() as harness:
-        client, server = await harness.client(), harness.servers["s0"]
-        await client.send_setup(A)
-        await harness.wait_until(lambda: client.responses == [(isup.ANM, A, -1)], 1)
+        client, server = await caller_with_dialog(harness, A), harness.servers["s0"]
         harness.bus.publish(host_row("s0", 0, "Terminating"))
         await trio.sleep(0.5)
         await client.release(A)
